Serve on real sockets: the gateway, README and design

Added: the cloverkeel package round the unchanged module, a README whose example the tests run, docs/design.md, the licence, and run and node in deploy/balancer.toml. The build compiles the sources, since there is nowhere to keep compiled ones at a start.

The log named connection_made: it asserted that the transport is an asyncio.Transport, and uvloop's are not.

--- /dev/null
+++ b/cloverkeel/__init__.py
@@ -0,0 +1,1 @@
+"""cloverkeel: a real gateway on sockets round the decision module caperdrift."""
--- /dev/null
+++ b/cloverkeel/__main__.py
@@ -0,0 +1,68 @@
+"""Start, signals, exit."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+
+
+def _end_early(signum: int, frame: object) -> None:
+    """A signal before anything is held: there is nothing to finish."""
+    os._exit(0)
+
+
+def main() -> int:
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signum, _end_early)
+    # Imported late: a signal during the start must find its handler.
+    from cloverkeel.config import ConfigError, load
+
+    try:
+        config = load()
+    except ConfigError as error:
+        print(f"cloverkeel: {error}", file=sys.stderr)
+        return 2
+
+    import asyncio
+    import gc
+
+    import uvloop
+
+    from cloverkeel.gateway import Gateway
+    from cloverkeel.http1 import log
+    from cloverkeel.server import Server
+
+    end_s = 3.4  # after the signal, whatever is left
+
+    async def serve() -> int:
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
+        gateway = Gateway(config)
+        server = Server(config, gateway)
+        try:
+            await server.start()
+        except OSError as error:
+            log(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}")
+            return 1
+        gc.collect()
+        gc.freeze()  # what the start has made is never garbage
+        await stop.wait()
+        try:
+            async with asyncio.timeout(end_s):
+                await server.drain()
+        except TimeoutError:
+            log(f"ended with {len(gateway.held)} requests unanswered")
+        counts = gateway.pools.counts
+        log(f"ends; connections to hosts: {counts}")
+        gateway.close()
+        return 0
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(serve())
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/cloverkeel/discovery.py
@@ -0,0 +1,226 @@
+"""The list of hosts: single calls, and a watch that goes on from answer to answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+from caperdrift.interface import ListedServer, ListKind, ServerStatus
+
+from cloverkeel.config import Address, Names, parse_address, stable_id
+from cloverkeel.http1 import Reply, ReplyError, ReplyReader, log
+
+LIST = b"/registry/instances"
+HOLD_MS = 20_000  # how long a watch may wait for news
+CALL_TIMEOUT_S = 8.0  # for an answer beyond that wait
+LIST_LIMIT = 16 * 1024 * 1024
+STATUSES = {
+    "SERVING": ServerStatus.READY,
+    "DRAINING": ServerStatus.DRAINING,
+    "DELETED": ServerStatus.GONE,
+}
+OnList = Callable[[ListKind, "list[Entry]"], None]
+
+
+class CallError(Exception):
+    """A call to discovery has failed."""
+
+
+class Entry:
+    """One host of a list, for the module and for the pools."""
+
+    __slots__ = ("address", "listed", "name")
+
+    def __init__(self, name: str, address: Address, listed: ListedServer) -> None:
+        self.name, self.address, self.listed = name, address, listed
+
+
+def parse_entry(raw: dict[str, Any], names: Names) -> Entry:
+    name = raw["name"]
+    if not isinstance(name, str) or not name:
+        raise ValueError("no name")
+    zone, kind, group = raw.get("zone", ""), raw.get("type", ""), raw.get("group", 0)
+    return Entry(
+        name,
+        parse_address(raw["address"], "address"),
+        ListedServer(
+            server=stable_id(name, 4),
+            status=STATUSES[raw["status"]],
+            weight=_weight(raw.get("weight", 1.0)),
+            zone=_number(zone, names.zones),
+            group=group if isinstance(group, int) else stable_id(str(group), 4),
+            kind=_number(kind, names.kinds),
+            started_us=int(raw.get("since_ms") or 0) * 1000,
+        ),
+    )
+
+
+def _weight(value: object) -> float:
+    weight = float(value)  # type: ignore[arg-type]
+    if not 0.0 < weight < 1e9:
+        raise ValueError("weight is out of range")
+    return weight
+
+
+def _number(name: object, known: dict[str, int]) -> int:
+    """The place in the settings; a name that is not there gets a number beyond them, the same everywhere."""
+    number = known.get(str(name))
+    return number if number is not None else len(known) + stable_id(str(name), 4)
+
+
+def parse_list(raw: object, names: Names) -> tuple[int, bool, list[Entry]]:
+    """A list in discovery's form: its version, whether it is whole, and the entries that can be used."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("endpoints", []), list):
+        raise ValueError("not a list of hosts")
+    entries: dict[int, Entry] = {}
+    for item in raw.get("endpoints", []):
+        try:
+            entry = parse_entry(item, names)
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            log(f"an entry of the list of hosts is skipped ({error!r}): {str(item)[:200]}")
+            continue
+        other = entries.get(entry.listed.server)
+        if other is not None and other.name != entry.name:
+            log(f"{entry.name} is skipped: its number is that of {other.name}")
+            continue
+        entries[entry.listed.server] = entry
+    return int(raw["index"]), bool(raw.get("snapshot", False)), list(entries.values())
+
+
+class _Call(asyncio.Protocol):
+    """The connection to discovery: one call at a time."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.replies = ReplyReader(LIST_LIMIT)
+        self.answer: asyncio.Future[Reply] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            reply = self.replies.feed(data)
+        except ReplyError as error:
+            self.fail(str(error))
+            return
+        if reply is not None and self.answer is not None and not self.answer.done():
+            self.answer.set_result(reply)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.fail("the connection ended")
+
+    def fail(self, why: str) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(CallError(why))
+        self.close()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    async def ask(self, head: bytes) -> Reply:
+        if self.transport is None or self.transport.is_closing():
+            raise CallError("the connection has ended")
+        self.answer = asyncio.get_running_loop().create_future()
+        self.transport.write(head)
+        return await self.answer
+
+
+class Discovery:
+    """Asks for the list when told to, and tells `on_list` what came; failures too."""
+
+    def __init__(self, address: Address, names: Names, on_list: OnList) -> None:
+        self.address, self.names, self.on_list = address, names, on_list
+        self.index: int | None = None
+        self.watching: asyncio.Task[None] | None = None
+        self.fetching: asyncio.Task[None] | None = None
+        self.host = f"{address[0]}:{address[1]}".encode()
+
+    def take_known(self, raw: dict[str, Any]) -> None:
+        """Begin with the list that this gateway had before it was restarted."""
+        entries: list[Entry] = []
+        try:
+            self.index, _, entries = parse_list(raw, self.names)
+        except (KeyError, TypeError, ValueError) as error:
+            if raw:
+                log(f"the list known from before cannot be used: {error!r}")
+        self.on_list(ListKind.DISK, entries)
+
+    def watch(self, on: bool) -> None:
+        """Begin to watch, or stop; a watch that is on goes on as it is."""
+        if not on and self.watching is not None:
+            self.watching.cancel()
+            self.watching = None
+        elif on and self.watching is None:
+            self.watching = asyncio.get_running_loop().create_task(self._guard(self._watch()))
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+        if self.fetching is None:
+            self.fetching = asyncio.get_running_loop().create_task(self._guard(self._fetch()))
+
+    def close(self) -> None:
+        for task in (self.watching, self.fetching):
+            if task is not None:
+                task.cancel()
+
+    async def _guard(self, call: Coroutine[Any, Any, None]) -> None:
+        """Turn a failure of a call into word of it; the module decides when to ask again."""
+        try:
+            await call
+        except (OSError, CallError, TimeoutError, ValueError, KeyError, TypeError) as error:
+            # Cleared first: the module may ask again while it hears of this.
+            self._forget(asyncio.current_task())
+            log(f"discovery: {error or type(error).__name__}")
+            self.on_list(ListKind.ERROR, [])
+        finally:
+            self._forget(asyncio.current_task())
+
+    def _forget(self, task: asyncio.Task[Any] | None) -> None:
+        if self.watching is task:
+            self.watching = None
+        if self.fetching is task:
+            self.fetching = None
+
+    async def _connect(self) -> _Call:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            _, call = await loop.create_connection(_Call, *self.address)
+        return call
+
+    async def _ask(self, call: _Call, target: bytes, wait_s: float) -> None:
+        head = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, self.host)
+        async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
+            reply = await call.ask(head)
+        if reply.status != 200:
+            raise CallError(f"answered {reply.status}")
+        if not reply.keep_alive:
+            call.close()
+        index, whole, entries = parse_list(json.loads(reply.body), self.names)
+        self.index = index
+        self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
+
+    async def _fetch(self) -> None:
+        call = await self._connect()
+        try:
+            await self._ask(call, LIST, 0.0)
+        finally:
+            call.close()
+
+    async def _watch(self) -> None:
+        call = await self._connect()
+        try:
+            while True:
+                if call.transport is None or call.transport.is_closing():
+                    call = await self._connect()
+                if self.index is None:
+                    await self._ask(call, LIST, 0.0)
+                else:
+                    target = LIST + b"?from=%d&hold_ms=%d" % (self.index, HOLD_MS)
+                    await self._ask(call, target, HOLD_MS / 1000)
+        finally:
+            call.close()
--- /dev/null
+++ b/cloverkeel/gateway.py
@@ -0,0 +1,270 @@
+"""The one Balancer and the world round it: events in, actions out, timers, and the requests that are held.
+
+Nothing is chosen here. One event is handled and its actions are carried out before the next: what is found
+out meanwhile waits its turn.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from caperdrift.balance import Balancer
+from caperdrift.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Event,
+    Fail,
+    FetchList,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    Reports,
+    RequestArrived,
+    RequestGone,
+    Send,
+    ServerList,
+    ServerStatus,
+    SetTimer,
+    TimerFired,
+    WatchList,
+)
+
+from cloverkeel.clock import now_us
+from cloverkeel.config import Config
+from cloverkeel.discovery import Discovery, Entry
+from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, Pools, load_of
+from cloverkeel.http1 import Reply, log
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A client's request, as the gateway takes it."""
+
+    id: str
+    klass: int
+    patience_us: int
+    key: int | None
+    work_us: int | None
+    is_retry: bool
+    tenant: int
+    head: bytes  # request line and headers to pass on, all but the budget and the end
+    body: bytes
+    on_served: Callable[[Reply], None]
+    on_refused: Callable[[int], None]  # with the time after which to come back, in microseconds
+    on_failed: Callable[[bool], None]  # with whether time ran out
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A request that is owed an answer, or whose attempts are not all over."""
+
+    call: Call
+    deadline_us: int
+    attempts: list[Attempt | None] = field(default_factory=list)  # None: never sent
+    out: int = 0
+    closed: bool = False
+    timed_out: bool = False
+
+
+class Gateway:
+    def __init__(self, config: Config) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.settings = config.settings
+        self.balancer = Balancer(config.settings, config.seed)
+        self.pools = Pools(config.settings)
+        self.discovery = Discovery(config.discovery, config.names, self.on_list)
+        self.events: deque[Callable[[], Event | None]] = deque()
+        self.handling = False
+        self.held: dict[str, Held] = {}
+        self.closed = False
+        self.discovery.take_known(config.known)
+
+    @property
+    def can_serve(self) -> bool:
+        """Whether there is any host to send to."""
+        return bool(self.pools.hosts)
+
+    def close(self) -> None:
+        self.closed = True
+        self.discovery.close()
+        self.pools.close()
+
+    # Events in
+
+    def post(self, event: Callable[[], Event | None]) -> None:
+        """Queue what has happened. It is put into words when its turn comes, and may be void by then."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events and not self.closed:
+                happened = self.events.popleft()()
+                if happened is not None:
+                    self.handle(happened)
+        finally:
+            self.handling = False
+
+    def handle(self, event: Event) -> None:
+        try:
+            actions = self.balancer.handle(now_us(), event)
+        except Exception:
+            # Guards against one bad decision ending the process and all that it holds.
+            log(f"the module failed at {event!r}\n{traceback.format_exc()}")
+            actions = [Fail(event.request)] if isinstance(event, RequestArrived | AttemptEnded) else []
+        for action in actions:
+            self.carry_out(action)
+
+    def arrive(self, call: Call) -> bool:
+        """Take a request; False if one with its id is held already."""
+        if call.id in self.held:
+            return False
+        self.held[call.id] = Held(call, now_us() + call.patience_us)
+        event = RequestArrived(
+            call.id, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant
+        )
+        self.post(lambda: event)
+        return True
+
+    def leave(self, id_: str) -> None:
+        """The client has gone; nothing is owed to it."""
+        held = self.held.get(id_)
+        if held is None or held.closed:
+            return
+        self.finish(id_, held)
+        self.post(lambda: RequestGone(id_))
+
+    def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
+        self.post(lambda: self.take_list(kind, entries))
+
+    def take_list(self, kind: ListKind, entries: list[Entry]) -> Event:
+        if kind is not ListKind.ERROR and kind is not ListKind.DELTA:
+            named = {entry.listed.server for entry in entries}
+            for id_ in [id_ for id_ in self.pools.hosts if id_ not in named]:
+                self.pools.remove(id_)
+        for entry in entries:
+            listed = entry.listed
+            if listed.status is ServerStatus.GONE:
+                self.pools.remove(listed.server)
+            else:
+                ready = listed.status is ServerStatus.READY
+                self.pools.put(listed.server, entry.name, entry.address, ready)
+        return ServerList(kind, tuple(entry.listed for entry in entries))
+
+    # Actions out
+
+    def carry_out(self, action: Action) -> None:
+        match action:
+            case Send():
+                self.send(action)
+            case SetTimer():
+                # A millisecond more: the loop rounds, and a timer must not fire before it is due.
+                delay_s = max(0, action.due_us - now_us()) / 1e6 + 0.001
+                event = TimerFired(action.token)
+                self.loop.call_later(delay_s, self.post, lambda: event)
+            case Refuse():
+                held = self.owed(action.request)
+                if held is not None:
+                    held.call.on_refused(action.retry_after_us)
+            case Fail():
+                held = self.owed(action.request)
+                if held is not None:
+                    held.call.on_failed(held.timed_out)
+            case Cancel():
+                self.cancel(action)
+            case WatchList():
+                self.discovery.watch(action.on)
+            case FetchList():
+                self.discovery.fetch()
+            case Probe():
+                self.probe(action.server)
+            case CloseIdle():
+                self.pools.close_idle(action.server)
+            case Log():
+                log(action.line)
+            case _:
+                log(f"not carried out: {action!r}")
+
+    def owed(self, id_: str) -> Held | None:
+        """The request, if it still waits for its final answer, which it has from now on."""
+        held = self.held.get(id_)
+        if held is None or held.closed:
+            return None
+        self.finish(id_, held)
+        return held
+
+    def finish(self, id_: str, held: Held) -> None:
+        held.closed = True
+        if held.out == 0:
+            del self.held[id_]
+
+    def send(self, action: Send) -> None:
+        id_ = action.request
+        held, host = self.held.get(id_), self.pools.hosts.get(action.server)
+        if held is None:
+            return
+        number = len(held.attempts)
+        left_us = held.deadline_us - now_us()
+        wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
+        if host is None or held.closed or wait_us <= 0 or number >= self.settings.max_attempts:
+            held.attempts.append(None)
+            self.post(lambda: self.moot(action, number))
+            return
+
+        def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
+            self.post(lambda: self.attempt_ended(held, number, attempt, outcome, reply))
+
+        payload = b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, max(1, wait_us // 1000), held.call.body)
+        attempt = Attempt(host, payload, on_end)
+        held.attempts.append(attempt)
+        held.out += 1
+        self.pools.send(attempt, wait_us)
+
+    def moot(self, action: Send, number: int) -> Event:
+        held = self.held.get(action.request)
+        finished = held is None or held.closed
+        return AttemptEnded(action.request, number, action.server, Outcome.MOOT, 0, finished)
+
+    def attempt_ended(
+        self, held: Held, number: int, attempt: Attempt, outcome: Outcome, reply: Reply | None
+    ) -> Event:
+        id_ = held.call.id
+        held.out -= 1
+        held.timed_out = outcome is Outcome.TIMEOUT
+        if not held.closed and outcome is Outcome.OK and reply is not None:
+            self.finish(id_, held)
+            held.call.on_served(reply)
+        elif held.closed and held.out == 0:
+            self.held.pop(id_, None)
+        return AttemptEnded(
+            id_, number, attempt.host.id, outcome, attempt.latency_us, held.closed, load_of(reply)
+        )
+
+    def cancel(self, action: Cancel) -> None:
+        held = self.held.get(action.request)
+        if held is not None and 0 <= action.attempt < len(held.attempts):
+            attempt = held.attempts[action.attempt]
+            if attempt is not None:
+                self.pools.cancel(attempt)
+
+    def probe(self, id_: int) -> None:
+        host = self.pools.hosts.get(id_)
+        if host is None:
+            return
+
+        def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
+            self.post(lambda: Probed(id_, outcome, attempt.latency_us, load_of(reply)))
+
+        path = b"/health/live" if self.settings.reports is Reports.NONE else b"/stats"
+        address = f"{host.address[0]}:{host.address[1]}".encode()
+        payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
+        self.pools.send(Attempt(host, payload, on_end), PROBE_TIMEOUT_US)
--- /dev/null
+++ b/cloverkeel/hosts.py
@@ -0,0 +1,358 @@
+"""Connections to hosts: one pool for each host, attempts over them and how these end, probes."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+from caperdrift.interface import LoadReport, Outcome, Settings
+from caperdrift.wire import parse_load
+
+from cloverkeel.clock import now_us
+from cloverkeel.config import Address
+from cloverkeel.http1 import Reply, ReplyError, ReplyReader, header
+
+IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
+SPARE_IDLE_US = 5_000_000  # the same for what only a burst has needed
+SPARED = 1  # connections of a host that may stay idle for longer than that
+SWEEP_S = 1.0
+PROBE_TIMEOUT_US = 250_000
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    """One host as this gateway reaches it."""
+
+    id: int
+    name: str
+    address: Address
+    drained_us: int | None = None  # when this gateway was told that it drains or is gone
+    idle: list[HostConnection] = field(default_factory=list)  # the most recently used last
+    open: int = 0  # connections up or coming up
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One request on its way to one host, until its outcome."""
+
+    host: Host
+    payload: bytes
+    on_end: Callable[[Attempt, Outcome, Reply | None], None]
+    sent_us: int = 0
+    latency_us: int = 0
+    connection: HostConnection | None = None
+    opening: asyncio.Task[object] | None = None
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class PoolCounts:
+    """What the pools have done since the start."""
+
+    opened: int = 0
+    reused: int = 0
+    failed: int = 0
+    stale: int = 0
+
+
+class HostConnection(asyncio.Protocol):
+    """One connection to a host; it carries one attempt at a time."""
+
+    __slots__ = ("attempt", "flushed", "host", "idle_since_us", "poll", "pools", "replies", "transport")
+
+    def __init__(self, pools: Pools, host: Host, attempt: Attempt | None) -> None:
+        self.pools, self.host, self.attempt = pools, host, attempt
+        self.transport: asyncio.Transport | None = None
+        self.replies = ReplyReader()
+        self.flushed = True  # the last byte of what was written is with the kernel
+        self.idle_since_us = 0
+        self.poll = select.poll()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        # With no room in the buffer, pause_writing tells at once that the last byte is not yet written.
+        self.transport.set_write_buffer_limits(high=0)
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        self.pools.on_connected(self)
+
+    def is_fresh(self) -> bool:
+        """False once the host has closed it, or said something unasked, seen by the loop or not yet.
+
+        Guards against writing a request to a connection that the host has closed: it would end as a reset,
+        and nobody could tell whether it has run.
+        """
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and not self.poll.poll(0)
+
+    def write(self, data: bytes) -> bool:
+        """False if the connection turned out broken before the last byte was written."""
+        assert self.transport is not None
+        self.transport.write(data)
+        return not self.transport.is_closing()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def pause_writing(self) -> None:
+        self.flushed = False
+
+    def resume_writing(self) -> None:
+        self.flushed = True
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            reply = self.replies.feed(data)
+        except ReplyError:
+            self.pools.on_garbage(self)
+            return
+        if reply is not None:
+            self.pools.on_reply(self, reply)
+        elif self.attempt is None:
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pools.on_lost(self)
+
+
+class Pools:
+    """Carries attempts to hosts. Every attempt that is sent ends once, by its `on_end`."""
+
+    def __init__(self, settings: Settings, room: Callable[[], None] = lambda: None) -> None:
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        self.room = room  # called before a descriptor is taken
+        self.hosts: dict[int, Host] = {}
+        self.counts = PoolCounts()
+        self.open = 0
+        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+
+    # Hosts
+
+    def put(self, id_: int, name: str, address: Address, ready: bool) -> None:
+        """Learn of a host, of its new address, or that it drains."""
+        host = self.hosts.get(id_)
+        if host is None:
+            host = self.hosts[id_] = Host(id_, name, address)
+        if host.address != address:
+            host.address = address
+            self.close_idle(id_)
+        if ready:
+            host.drained_us = None
+        else:
+            self.drain(host)
+
+    def drain(self, host: Host) -> None:
+        if host.drained_us is None:
+            host.drained_us = now_us()
+        self.close_idle(host.id)
+
+    def remove(self, id_: int) -> None:
+        """Forget a host that is gone; what is out there still ends as it will."""
+        host = self.hosts.pop(id_, None)
+        if host is not None:
+            self.drain(host)
+
+    def close_idle(self, id_: int) -> None:
+        host = self.hosts.get(id_)
+        while host is not None and host.idle:
+            host.idle.pop().close()
+
+    # Attempts
+
+    def send(self, attempt: Attempt, timeout_us: int) -> None:
+        """Begin an attempt on a kept connection, or on a new one where none is free."""
+        attempt.sent_us = now_us()
+        later = self.loop.call_later
+        attempt.timers.append(later(timeout_us / 1e6, self.on_timeout, attempt))
+        if not self.may_send(attempt.host):
+            self.end(attempt, Outcome.CONNECT_FAILED)
+            return
+        while (connection := self.take(attempt.host)) is not None:
+            if self.put_on(connection, attempt):
+                self.counts.reused += 1
+                return
+            # The write itself failed: nothing has reached the host, so the same attempt may begin anew.
+            self.counts.stale += 1
+        self.room()
+        host, connect_us = attempt.host, self.settings.connect_timeout_us
+        attempt.timers.append(later(connect_us / 1e6, self.on_connect_timeout, attempt))
+        connection = HostConnection(self, host, attempt)
+        attempt.connection = connection
+        host.open += 1
+        self.open += 1
+        self.counts.opened += 1
+        opening: asyncio.Task[object] = self.loop.create_task(
+            self.loop.create_connection(lambda: connection, *host.address)
+        )
+        attempt.opening = opening
+        opening.add_done_callback(lambda task: self.on_opened(task, connection))
+
+    def may_send(self, host: Host) -> bool:
+        """Guards the drain rule: nothing starts after the grace, however long a connection took."""
+        grace_us = self.settings.stop_sending_within_us
+        return host.drained_us is None or now_us() - host.drained_us <= grace_us
+
+    def take(self, host: Host) -> HostConnection | None:
+        """The most recently used free connection: those at the bottom of the stack age and are closed."""
+        oldest_us = now_us() - int(self.settings.keepalive_us * IDLE_SHARE)
+        while host.idle:
+            connection = host.idle.pop()
+            if connection.idle_since_us >= oldest_us and connection.is_fresh():
+                return connection
+            self.counts.stale += 1
+            connection.close()
+        return None
+
+    def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
+        connection.attempt, attempt.connection = attempt, connection
+        if connection.write(attempt.payload):
+            return True
+        connection.attempt = attempt.connection = None
+        connection.close()
+        return False
+
+    def cancel(self, attempt: Attempt, outcome: Outcome = Outcome.CANCELLED) -> None:
+        """Stop waiting: the connection is closed, so that the host can tell, and its place is free."""
+        if attempt.ended:
+            return
+        connection, opening = attempt.connection, attempt.opening
+        self.end(attempt, outcome)
+        if opening is not None and not opening.done():
+            opening.cancel()
+        if connection is not None:
+            connection.attempt = None
+            connection.close()
+
+    def end(self, attempt: Attempt, outcome: Outcome, reply: Reply | None = None) -> None:
+        if attempt.ended:
+            return
+        attempt.ended = True
+        attempt.latency_us = now_us() - attempt.sent_us
+        for timer in attempt.timers:
+            timer.cancel()
+        if outcome is Outcome.CONNECT_FAILED:
+            self.counts.failed += 1
+        attempt.connection = attempt.opening = None
+        attempt.on_end(attempt, outcome, reply)
+
+    def on_timeout(self, attempt: Attempt) -> None:
+        # What was never written cannot have run, also when the time ended while connecting.
+        self.cancel(attempt, Outcome.TIMEOUT if self.is_written(attempt) else Outcome.CONNECT_FAILED)
+
+    def on_connect_timeout(self, attempt: Attempt) -> None:
+        if attempt.connection is not None and attempt.connection.transport is None:
+            self.cancel(attempt, Outcome.CONNECT_FAILED)
+
+    def is_written(self, attempt: Attempt) -> bool:
+        connection = attempt.connection
+        return connection is not None and connection.transport is not None and connection.flushed
+
+    # Connections
+
+    def on_connected(self, connection: HostConnection) -> None:
+        attempt = connection.attempt
+        if attempt is None or attempt.ended:
+            connection.attempt = None
+            self.keep(connection)
+        elif not self.may_send(connection.host) or not self.put_on(connection, attempt):
+            connection.attempt = None
+            connection.close()
+            self.end(attempt, Outcome.CONNECT_FAILED)
+
+    def on_opened(self, opening: asyncio.Task[object], connection: HostConnection) -> None:
+        """Account for a connection that did not come up."""
+        if not opening.cancelled() and opening.exception() is None:
+            return
+        if connection.transport is None:
+            self.count_closed(connection)
+        if connection.attempt is not None:
+            self.end(connection.attempt, Outcome.CONNECT_FAILED)
+
+    def on_reply(self, connection: HostConnection, reply: Reply) -> None:
+        attempt, connection.attempt = connection.attempt, None
+        if attempt is None:
+            connection.close()
+            return
+        if reply.keep_alive and connection.flushed:
+            self.keep(connection)
+        else:
+            connection.close()
+        self.end(attempt, outcome_of(reply), reply)
+
+    def on_garbage(self, connection: HostConnection) -> None:
+        attempt, connection.attempt = connection.attempt, None
+        connection.close()
+        if attempt is not None:
+            self.end(attempt, Outcome.ERROR)
+
+    def on_lost(self, connection: HostConnection) -> None:
+        self.count_closed(connection)
+        attempt, connection.attempt = connection.attempt, None
+        if connection in connection.host.idle:
+            connection.host.idle.remove(connection)
+        if attempt is not None:
+            self.end(attempt, Outcome.RESET if connection.flushed else Outcome.CONNECT_FAILED)
+
+    def count_closed(self, connection: HostConnection) -> None:
+        connection.host.open -= 1
+        self.open -= 1
+
+    def keep(self, connection: HostConnection) -> None:
+        host = connection.host
+        address_changed = self.hosts.get(host.id) is not host
+        if host.drained_us is not None or address_changed:
+            connection.close()
+            return
+        connection.idle_since_us = now_us()
+        host.idle.append(connection)
+
+    def sweep(self) -> None:
+        """Close what has been idle for too long, well before the host does it."""
+        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+        now = now_us()
+        oldest_us = now - int(self.settings.keepalive_us * IDLE_SHARE)
+        spare_us = now - SPARE_IDLE_US
+        for host in self.hosts.values():
+            while host.idle:
+                limit_us = spare_us if len(host.idle) > SPARED else oldest_us
+                if host.idle[0].idle_since_us >= limit_us:
+                    break
+                host.idle.pop(0).close()
+
+    def give_up_idle(self) -> bool:
+        """Close the connection that was idle for the longest time, to gain a descriptor."""
+        hosts = [host for host in self.hosts.values() if host.idle]
+        if not hosts:
+            return False
+        min(hosts, key=lambda host: host.idle[0].idle_since_us).idle.pop(0).close()
+        return True
+
+    def close(self) -> None:
+        self.sweeper.cancel()
+        for host in self.hosts.values():
+            self.close_idle(host.id)
+
+
+def outcome_of(reply: Reply) -> Outcome:
+    if reply.status == 200:
+        return Outcome.OK
+    if reply.status in (503, 504) and header(reply.headers, b"x-rejected") == b"1":
+        return Outcome.FULL
+    return Outcome.ERROR
+
+
+def load_of(reply: Reply | None) -> LoadReport | None:
+    """The load report that came with an answer; what cannot be read is as good as none."""
+    text = header(reply.headers, b"x-load-report") if reply is not None else None
+    if text is None:
+        return None
+    form, _, values = text.decode("latin-1").partition(" ")
+    try:
+        return parse_load(values.replace(" ", "").replace("=", ":")) if form == "TEXT" else None
+    except ValueError:
+        return None
