Tests over loopback sockets, and five mends they found

Each of these tests failed before its mend (six failures of 102): - A pushed list was never watched: nobody asks for it. discovery.py watches from the start and again after a jittered, growing wait. - A connection to a host's old address went back into the pool (Pools.keep compared the host, not the address). - On the way out the first of several requests read on one connection was answered with Connection: close and the rest dropped (ClientConnection.answer). - A head without end was never cut off: its count began anew with its first piece (on_message_begin). - Discovery was called before the address was bound, so a start that failed for an address in use also logged a failed call. Now bind, list, listen.

Also, from reading: on the way out a new connection has half a second for its first request; it may be one that crossed the end of an older connection, and a client sends such a one only once more.

--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable, Coroutine
 from typing import Any, cast
 
@@ -15,6 +16,7 @@
 LIST = b"/registry/instances"
 HOLD_MS = 20_000  # how long a watch may wait for news
 CALL_TIMEOUT_S = 8.0  # for an answer beyond that wait
+FIRST_RETRY_S, LAST_RETRY_S = 0.2, 5.0  # between calls where the module does not ask itself
 LIST_LIMIT = 16 * 1024 * 1024
 STATUSES = {
     "SERVING": ServerStatus.READY,
@@ -133,8 +135,11 @@
 class Discovery:
     """Asks for the list when told to, and tells `on_list` what came; failures too."""
 
-    def __init__(self, address: Address, names: Names, on_list: OnList) -> None:
+    def __init__(self, address: Address, names: Names, on_list: OnList, pushed: bool) -> None:
         self.address, self.names, self.on_list = address, names, on_list
+        self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
+        self.failures = 0
+        self.closed = False
         self.index: int | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
@@ -149,9 +154,13 @@
             if raw:
                 log(f"the list known from before cannot be used: {error!r}")
         self.on_list(ListKind.DISK, entries)
+        if self.pushed:
+            self.watch(True)
 
     def watch(self, on: bool) -> None:
         """Begin to watch, or stop; a watch that is on goes on as it is."""
+        if self.closed:
+            return
         if not on and self.watching is not None:
             self.watching.cancel()
             self.watching = None
@@ -164,6 +173,7 @@
             self.fetching = asyncio.get_running_loop().create_task(self._guard(self._fetch()))
 
     def close(self) -> None:
+        self.closed = True
         for task in (self.watching, self.fetching):
             if task is not None:
                 task.cancel()
@@ -177,6 +187,10 @@
             self._forget(asyncio.current_task())
             log(f"discovery: {error or type(error).__name__}")
             self.on_list(ListKind.ERROR, [])
+            if self.pushed:
+                wait_s = min(FIRST_RETRY_S * 2**self.failures, LAST_RETRY_S) * random.uniform(0.5, 1.0)
+                self.failures += 1
+                asyncio.get_running_loop().call_later(wait_s, self.watch, True)
         finally:
             self._forget(asyncio.current_task())
 
@@ -201,7 +215,7 @@
         if not reply.keep_alive:
             call.close()
         index, whole, entries = parse_list(json.loads(reply.body), self.names)
-        self.index = index
+        self.index, self.failures = index, 0
         self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
 
     async def _fetch(self) -> None:
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -81,12 +81,17 @@
         self.settings = config.settings
         self.balancer = Balancer(config.settings, config.seed)
         self.pools = Pools(config.settings)
-        self.discovery = Discovery(config.discovery, config.names, self.on_list)
+        pushed = config.settings.list_is_pushed
+        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
         self.held: dict[str, Held] = {}
         self.closed = False
-        self.discovery.take_known(config.known)
+        self.known = config.known
+
+    def start(self) -> None:
+        """Begin with the list from before, and ask for a newer one when the module says so."""
+        self.discovery.take_known(self.known)
 
     @property
     def can_serve(self) -> bool:
--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -62,10 +62,21 @@
 class HostConnection(asyncio.Protocol):
     """One connection to a host; it carries one attempt at a time."""
 
-    __slots__ = ("attempt", "flushed", "host", "idle_since_us", "poll", "pools", "replies", "transport")
+    __slots__ = (
+        "address",
+        "attempt",
+        "flushed",
+        "host",
+        "idle_since_us",
+        "poll",
+        "pools",
+        "replies",
+        "transport",
+    )
 
     def __init__(self, pools: Pools, host: Host, attempt: Attempt | None) -> None:
         self.pools, self.host, self.attempt = pools, host, attempt
+        self.address = host.address
         self.transport: asyncio.Transport | None = None
         self.replies = ReplyReader()
         self.flushed = True  # the last byte of what was written is with the kernel
@@ -304,8 +315,7 @@
 
     def keep(self, connection: HostConnection) -> None:
         host = connection.host
-        address_changed = self.hosts.get(host.id) is not host
-        if host.drained_us is not None or address_changed:
+        if host.drained_us is not None or connection.address != host.address:
             connection.close()
             return
         connection.idle_since_us = now_us()
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -18,6 +18,7 @@
 
 READY_PATH = b"/health/ready"
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
+FIRST_REQUEST_S = 0.5  # for the first request on a new connection to come, on the way out
 LINGER_S = 1.0  # for the client to read an answer that it did not expect
 POLL_S = 0.02
 PIPELINED = 16  # requests read ahead on one connection
@@ -67,8 +68,10 @@
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            lambda: ClientConnection(self), *self.config.listen, backlog=BACKLOG
+            lambda: ClientConnection(self), *self.config.listen, backlog=BACKLOG, start_serving=False
         )
+        self.gateway.start()  # nobody is let in before there is a list of hosts to serve from
+        await self.listener.start_serving()
 
     @property
     def is_ready(self) -> bool:
@@ -114,6 +117,9 @@
         self.head_size = 0
         self.body_size = 0
         self.in_head = True
+        self.passed_end = False  # a request has ended in the piece that was read last
+        self.opened_s = 0.0
+        self.served = False  # has had an answer
         self.waiting: deque[Request] = deque()
         self.current: Request | None = None  # read and not yet answered
         self.current_id = ""
@@ -125,6 +131,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.opened_s = asyncio.get_running_loop().time()
         self.server.connections.add(self)
         self.server.make_room()
 
@@ -138,10 +145,13 @@
     def is_idle(self) -> bool:
         """Whether it may be closed: nothing is owed, nothing has begun, nothing waits to be read.
 
-        Guards against losing a request that has reached this machine and not yet this program.
+        Guards against losing a request that has reached this machine and not yet this program, and one that a
+        client sends for the second time, on a new connection, since the first crossed the end of its old one.
         """
         if self.current is not None or self.waiting or self.reading is not None or self.deaf:
             return False
+        if not self.served and asyncio.get_running_loop().time() - self.opened_s < FIRST_REQUEST_S:
+            return False
         return not self.poll.poll(0)
 
     def close(self) -> None:
@@ -154,9 +164,9 @@
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return  # what follows a request that can't be read, until the connection ends
-        if self.in_head:
-            self.head_size += len(data)
         fault: RequestError | None = None
+        self.passed_end = False
+        self.in_head = self.in_head or self.reading is None
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -164,7 +174,10 @@
         except httptools.HttpParserError as error:
             cause = error.__context__
             fault = cause if isinstance(cause, RequestError) else RequestError(400, "malformed")
-        if fault is None and self.in_head and self.head_size > HEAD_LIMIT:
+        # Guards against a head without end: the parser hands a header over only once it is whole.
+        # Of a piece that also ends another request, the part that is head is not known, and not counted.
+        self.head_size = self.head_size + len(data) if self.in_head and not self.passed_end else 0
+        if fault is None and self.head_size > HEAD_LIMIT:
             fault = RequestError(431, "the head is too long")
         if fault is not None:
             self.deaf = True
@@ -177,7 +190,7 @@
 
     def on_message_begin(self) -> None:
         self.reading = Request()
-        self.head_size = self.body_size = 0
+        self.body_size = 0
         self.in_head = True
 
     def on_url(self, url: bytes) -> None:
@@ -212,7 +225,7 @@
         request = self.reading
         assert request is not None
         self.reading = None
-        self.head_size, self.in_head = 0, True
+        self.passed_end = True
         request.keep_alive = self.parser.should_keep_alive()
         self.waiting.append(request)
 
@@ -302,7 +315,9 @@
         request, transport = self.current, self.transport
         assert request is not None and transport is not None
         self.current, self.current_id = None, ""
-        last = not request.keep_alive or self.server.draining
+        self.served = True
+        more = bool(self.waiting) or self.reading is not None  # what was read is answered, on the way out too
+        last = not request.keep_alive or (self.server.draining and not more)
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
         lines += [b"%s: %s" % pair for pair in headers]
         lines += [b"Content-Length: %d" % len(body)]
--- /dev/null
+++ b/tests/test_gateway_clients.py
@@ -0,0 +1,176 @@
+"""Clients' connections: what is read, what is malformed, health, and many requests on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from cloverkeel.config import stable_id
+from tests.sockets import (
+    answers,
+    configuration,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+
+
+@on_loop
+async def test_the_module_is_told_what_the_headers_say() -> None:
+    from caperdrift.interface import RequestArrived
+
+    async with peer() as host, running(configuration(host)) as run:
+        told: list[RequestArrived] = []
+        handle = run.gateway.balancer.handle
+
+        def listen(now_us: int, event: object) -> object:
+            if isinstance(event, RequestArrived):
+                told.append(event)
+            return handle(now_us, event)  # type: ignore[arg-type]
+
+        run.gateway.balancer.handle = listen  # type: ignore[method-assign,assignment]
+        data = request("hold", b"x", budget_ms=480, x_call_cost="61000", x_again="1", x_caller="zeta")
+        assert (await run.ask(data)).status == 200
+        (event,) = told
+        assert (event.klass, event.patience_us, event.work_us) == (1, 480_000, 61_000)
+        assert event.is_retry and event.tenant == 1
+        assert event.key == stable_id("7f3a9c21e0b4d655", 8)
+        data = b"GET /search HTTP/1.1\r\nHost: b\r\nX-Call-Id: bare\r\n\r\n"
+        assert (await run.ask(data)).status == 200
+        assert told[1].key is None and told[1].patience_us == 20_000_000 and not told[1].is_retry
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x00\x01\x02 what\r\n\r\n", 400),
+        (b"GET /search/1 HTTP/1.1\r\nno colon\r\n\r\n", 400),
+        (b"GET /search/1 HTTP/9.9\r\n\r\n", 400),
+        (b"POST /transfer/1 HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST /transfer/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (b"POST /transfer/1 HTTP/1.1\r\nContent-Length: " + b"9" * 30 + b"\r\n\r\n", 400),
+        (b"POST /transfer/1 HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
+        (b"POST /transfer/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65537, 413),
+        (b"GET /search/1 HTTP/1.1\r\nX-Long: " + b"x" * 70_000, 431),
+        (request("search", x_call_class="loan"), 400),
+        (request("search", x_call_class="hold"), 400),
+        (request("search", x_call_id=""), 400),
+        (request("search", x_budget_ms="soon"), 400),
+        (request("search", x_budget_ms="-5"), 400),
+        (request("search", x_call_cost="1e3"), 400),
+        (request("hold", idempotency_key=""), 400),
+        (b"GET /nowhere HTTP/1.1\r\nHost: b\r\nX-Call-Id: i\r\n\r\n", 404),
+        (b"GET / HTTP/1.1\r\nHost: b\r\nX-Call-Id: i\r\n\r\n", 404),
+        (b"POST /search/1 HTTP/1.1\r\nHost: b\r\nX-Call-Id: i\r\nContent-Length: 0\r\n\r\n", 405),
+        (b"GET /transfer/1 HTTP/1.1\r\nHost: b\r\nX-Call-Id: i\r\n\r\n", 405),
+        (b"GET /search/1 HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", 400),
+    ],
+)
+@on_loop
+async def test_what_cannot_be_taken_is_answered_and_the_program_goes_on(data: bytes, status: int) -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        answer = await run.ask(data)
+        assert answer.status == status
+        assert answer.status not in (429, 503)
+        assert not host.seen and not run.gateway.held
+        assert (await run.ask(request())).status == 200
+
+
+@on_loop
+async def test_a_body_comes_in_pieces_or_chunks() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        data = request("transfer", b"in many pieces")
+        for at in range(len(data)):
+            client.send(data[at : at + 1])
+            await asyncio.sleep(0)
+        assert (await client.answer()).status == 200
+        head = request("transfer", content_length="", transfer_encoding="chunked")
+        client.send(head + b"3\r\nabc\r\n")
+        client.send(b"2\r\nde\r\n0\r\n\r\n")
+        assert (await client.answer()).status == 200
+        assert [e.message.body for e in host.seen] == [b"in many pieces", b"abcde"]
+        assert "transfer-encoding" not in host.seen[1].message.headers
+        client.close()
+
+
+@on_loop
+async def test_a_body_of_the_largest_size_passes_both_ways() -> None:
+    body = bytes(range(256)) * 256
+    async with peer(answers(reply(200, body))) as host, running(configuration(host)) as run:
+        answer = await run.ask(request("transfer", body))
+        assert answer.body == body == host.seen[0].message.body
+
+
+@on_loop
+async def test_requests_on_one_connection_are_answered_in_turn() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(b"".join(request("transfer", b"%d" % n) for n in range(40)))
+        for _ in range(40):
+            assert (await client.answer()).status == 200
+        assert [e.message.body for e in host.seen] == [b"%d" % n for n in range(40)]
+        client.close()
+
+
+@on_loop
+async def test_a_good_request_before_a_bad_one_is_answered_first() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(request("transfer") + b"rubbish\r\n\r\n")
+        await until(lambda: host.seen)
+        host.seen[0].answer(reply())
+        assert (await client.answer()).status == 200
+        answer = await client.answer()
+        assert answer.status == 400 and answer.headers["connection"] == "close"
+        assert await client.reader.read() == b""
+        client.close()
+
+
+@on_loop
+async def test_a_client_that_says_close_is_closed_after_its_answer() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        answer = await client.ask(request(connection="close"))
+        assert answer.status == 200 and answer.headers["connection"] == "close"
+        assert await client.reader.read() == b""
+        client.close()
+
+
+@on_loop
+async def test_an_id_that_is_in_use_is_not_taken_twice() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        data = request("transfer")
+        first = await run.connect()
+        first.send(data)
+        await until(lambda: host.seen)
+        assert (await run.ask(data)).status == 400
+        host.seen[0].answer(reply())
+        assert (await first.answer()).status == 200
+        assert len(host.seen) == 1
+        first.close()
+
+
+@on_loop
+async def test_ready_means_that_requests_can_be_served() -> None:
+    ready = b"GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"
+    async with peer() as host:
+        async with running(configuration(host)) as run:
+            assert (await run.ask(ready)).status == 200
+            run.server.draining = True
+            assert (await run.ask(ready)).status == 503
+        async with running(configuration()) as run:
+            assert (await run.ask(ready)).status == 503  # no host is known
+
+
+@on_loop
+async def test_a_refusal_tells_when_to_come_back_where_the_module_says_so() -> None:
+    async with running(configuration("127.0.0.1:1", retryAfter=True, maxRetryAfterUs=2_000_000)) as run:
+        answer = await run.ask(request())
+        assert answer.status == 503
+        assert 0 < float(answer.headers["retry-after"]) <= 2
--- /dev/null
+++ b/tests/test_gateway_discovery.py
@@ -0,0 +1,190 @@
+"""The list of hosts: known from before, called for, watched, and its failures."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from caperdrift.interface import FetchList, ListKind, ServerList, WatchList
+from tests.sockets import (
+    Exchange,
+    Peer,
+    Running,
+    Script,
+    answers,
+    configuration,
+    endpoint,
+    host_id,
+    list_reply,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+
+
+def lists(run: Running) -> list[ServerList]:
+    """What the module is told of the list from now on."""
+    told: list[ServerList] = []
+    handle = run.gateway.balancer.handle
+
+    def listen(now_us: int, event: object) -> object:
+        if isinstance(event, ServerList):
+            told.append(event)
+        return handle(now_us, event)  # type: ignore[arg-type]
+
+    run.gateway.balancer.handle = listen  # type: ignore[method-assign,assignment]
+    return told
+
+
+def asked(registry: Peer) -> list[str]:
+    return [exchange.message.first.split(" ")[1] for exchange in registry.seen]
+
+
+def watcher(run: Running) -> None:
+    run.gateway.carry_out(WatchList())
+
+
+@on_loop
+async def test_a_watch_goes_on_from_the_version_it_has() -> None:
+    news = [
+        list_reply(8, endpoint("s-1", "127.0.0.1:1"), snapshot=False),
+        list_reply(8, snapshot=False),
+        list_reply(9, endpoint("s-0", "127.0.0.1:1", status="DELETED"), snapshot=False),
+    ]
+
+    def script(exchange: Exchange) -> None:
+        if news:
+            exchange.answer(news.pop(0))
+
+    async with (
+        peer(script) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        watcher(run)
+        watcher(run)  # while it is on, another changes nothing
+        await until(lambda: len(registry.seen) == 4)
+        assert asked(registry) == [f"/registry/instances?from={n}&hold_ms=20000" for n in (7, 8, 8, 9)]
+        assert registry.opened == 1
+        assert set(run.gateway.pools.hosts) == {host_id(1)} == set(run.gateway.balancer.servers)
+
+
+@on_loop
+async def test_a_watch_that_is_let_go_is_heard_no_more() -> None:
+    async with (
+        peer(silent) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        watcher(run)
+        await until(lambda: registry.seen)
+        told = lists(run)
+        run.gateway.carry_out(WatchList(False))
+        await until(lambda: registry.ended == 1)
+        assert not told and run.gateway.discovery.watching is None
+
+
+@on_loop
+async def test_the_whole_list_drops_what_it_does_not_name() -> None:
+    listed = endpoint("s-1", "127.0.0.1:1", zone="b", group=3, since_ms=5, weight=2)
+    async with peer(answers(list_reply(12, listed))) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"] |= {"membershipMode": "on_request", "contract": {"mustAskInUs": 10**12}}
+        async with running(config) as run:  # no call but the test's
+            told = lists(run)
+            run.gateway.carry_out(FetchList())
+            await until(lambda: told)
+            assert asked(registry) == ["/registry/instances"]
+            (event,) = told
+            assert event.kind is ListKind.FULL
+            (entry,) = event.servers
+            assert (entry.zone, entry.group, entry.started_us, entry.weight) == (1, 3, 5_000, 2.0)
+            assert set(run.gateway.pools.hosts) == {host_id(1)}
+
+
+def reset(exchange: Exchange) -> None:
+    exchange.reset()
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        reset,
+        answers(reply(503)),
+        answers(reply(200, b"not JSON")),
+        answers(reply(200, b"[]")),
+        answers(reply(200, b"{}")),
+        answers(reply(200, b'{"index":1,"endpoints":{}}')),
+        answers(b"no HTTP\r\n\r\n"),
+    ],
+)
+@on_loop
+async def test_a_failed_call_is_told_and_made_again_when_the_module_says(script: Script) -> None:
+    async with peer(script) as registry:
+        config = configuration("127.0.0.1:1", discovery=registry.address)
+        config["settings"]["membershipMode"] = "on_request"  # the module asks, and asks again
+        async with running(config) as run:
+            told = lists(run)
+            await until(lambda: len(told) >= 2)
+            assert {event.kind for event in told} == {ListKind.ERROR}
+            assert set(run.gateway.pools.hosts) == {host_id(0)}  # the old list stands
+            registry.script = answers(list_reply(9, endpoint("s-3", "127.0.0.1:1")))
+            await until(lambda: host_id(3) in run.gateway.pools.hosts)
+            registry.script = silent
+
+
+@on_loop
+async def test_a_pushed_list_is_watched_from_the_start_and_again_after_a_failure() -> None:
+    async with (
+        peer(reset) as registry,
+        running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+    ):
+        await until(lambda: len(registry.seen) >= 2)
+        registry.script = answers(list_reply(9, endpoint("s-3", "127.0.0.1:1")))
+        await until(lambda: host_id(3) in run.gateway.pools.hosts)
+        registry.script = silent
+
+
+@on_loop
+async def test_bad_entries_and_unknown_fields_are_survived() -> None:
+    async with peer() as host:
+        good = endpoint("s-1", host.address, colour="red")
+        bad: list[object] = [
+            None,
+            7,
+            {},
+            endpoint("", host.address),
+            endpoint("s-2", "nowhere"),
+            endpoint("s-2", "127.0.0.1:99999"),
+            endpoint("s-2", host.address, status="NAPPING"),
+            endpoint("s-2", host.address, weight="heavy"),
+            endpoint("s-2", host.address, weight=-1),
+            endpoint("s-2", host.address, since_ms="long ago"),
+            {**endpoint("s-2", host.address), "name": ["s-2"]},
+        ]
+        text = json.dumps({"index": 9, "snapshot": True, "more": {}, "endpoints": [*bad, good]})
+        script = answers(reply(200, text.encode()))
+        async with (
+            peer(script) as registry,
+            running(configuration("127.0.0.1:1", discovery=registry.address)) as run,
+        ):
+            await until(lambda: host_id(1) in run.gateway.pools.hosts)
+            registry.script = silent
+            assert set(run.gateway.pools.hosts) == {host_id(1)}
+            assert (await run.ask(request())).status == 200
+
+
+@on_loop
+async def test_a_list_known_from_before_that_cannot_be_used_is_as_none() -> None:
+    async with peer(silent) as registry:
+        config = configuration(discovery=registry.address)
+        config["known"] = {"index": "new", "endpoints": 3}
+        async with running(config) as run:
+            await until(lambda: registry.seen)
+            assert asked(registry) == ["/registry/instances"]
+            assert not run.gateway.pools.hosts
+    await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_gateway_outcomes.py
@@ -0,0 +1,268 @@
+"""Each outcome of an attempt, and what each class of request may do after it, end to end."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from caperdrift.interface import AttemptEnded, Outcome
+from tests.sockets import (
+    Exchange,
+    Running,
+    Script,
+    answers,
+    configuration,
+    endpoint,
+    host_id,
+    hosts_list,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+
+
+def outcomes(run: Running) -> list[AttemptEnded]:
+    """What the module is told of attempts from now on."""
+    told: list[AttemptEnded] = []
+    handle = run.gateway.balancer.handle
+
+    def listen(now_us: int, event: object) -> object:
+        if isinstance(event, AttemptEnded):
+            told.append(event)
+        return handle(now_us, event)  # type: ignore[arg-type]
+
+    run.gateway.balancer.handle = listen  # type: ignore[method-assign,assignment]
+    return told
+
+
+def reset(exchange: Exchange) -> None:
+    exchange.reset()
+
+
+def half_an_answer(exchange: Exchange) -> None:
+    exchange.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+    exchange.writer.close()
+
+
+CLOSED_PORT = "127.0.0.1:1"
+FULL = reply(503, b"", "X-Rejected: 1")
+
+
+@pytest.mark.parametrize(
+    ("script", "outcome", "status"),
+    [
+        (answers(reply(200, b"a book")), Outcome.OK, 200),
+        (answers(reply(500)), Outcome.ERROR, 502),
+        (answers(reply(503)), Outcome.ERROR, 502),  # without the mark nothing is known
+        (answers(reply(404, b"", "X-Rejected: 1")), Outcome.ERROR, 502),
+        (answers(b"no HTTP at all\r\n\r\n"), Outcome.ERROR, 502),
+        (answers(FULL), Outcome.FULL, 503),
+        (answers(reply(504, b"", "X-Rejected: 1")), Outcome.FULL, 503),
+        (reset, Outcome.RESET, 502),
+        (half_an_answer, Outcome.RESET, 502),  # a 200 must be whole
+    ],
+)
+@on_loop
+async def test_what_comes_back_is_the_outcome(script: Script, outcome: Outcome, status: int) -> None:
+    async with peer(script) as host, running(configuration(host)) as run:
+        told = outcomes(run)
+        answer = await run.ask(request("transfer", b"42"))
+        assert answer.status == status
+        assert [event.outcome for event in told] == [outcome]
+        assert told[0].server == host_id(0) and told[0].finished is (outcome is Outcome.OK)
+        assert len(host.seen) == 1  # an unsafe request goes out once
+        assert not run.gateway.held
+
+
+@on_loop
+async def test_a_refused_connection_never_ran() -> None:
+    async with running(configuration(CLOSED_PORT)) as run:
+        told = outcomes(run)
+        assert (await run.ask(request("transfer"))).status == 503
+        assert [event.outcome for event in told] == [Outcome.CONNECT_FAILED]
+
+
+@on_loop
+async def test_a_connection_that_never_comes_up_is_given_up_in_the_time_of_the_settings() -> None:
+    import socket
+
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        address = full.getsockname()
+        fill = [socket.socket() for _ in range(4)]
+        for one in fill:  # a backlog that is full lets nothing more come up
+            one.setblocking(False)
+            one.connect_ex(address)
+        config = configuration(f"127.0.0.1:{address[1]}", connectTimeoutUs=50_000)
+        async with running(config) as run:
+            told = outcomes(run)
+            assert (await run.ask(request("transfer"))).status == 503
+            assert [event.outcome for event in told] == [Outcome.CONNECT_FAILED]
+            assert run.gateway.pools.open == 0
+        for one in fill:
+            one.close()
+
+
+@on_loop
+async def test_a_time_out_closes_the_connection_and_fails_what_may_have_run() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        told = outcomes(run)
+        assert (await run.ask(request("transfer", budget_ms=60))).status == 504
+        assert [event.outcome for event in told] == [Outcome.TIMEOUT]
+        await until(lambda: host.ended == 1)  # the host can tell that nobody waits
+        assert run.gateway.pools.open == 0 and not run.gateway.held
+
+
+@on_loop
+async def test_a_late_answer_of_an_ended_attempt_is_dropped() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        told = outcomes(run)
+        client = await run.connect()
+        assert (await client.ask(request("transfer", budget_ms=60))).status == 504
+        host.seen[0].answer(reply(200, b"too late"))
+        host.script = answers(reply(200, b"in time"))
+        # After a time-out the module may refuse a few.
+        while (answer := await client.ask(request())).status == 503:
+            pass
+        assert answer.body == b"in time"
+        assert [event.outcome for event in told] == [Outcome.TIMEOUT, Outcome.OK]
+        client.close()
+
+
+@pytest.mark.parametrize(("klass", "again"), [("search", True), ("hold", True), ("transfer", False)])
+@on_loop
+async def test_after_a_reset_only_what_may_run_twice_goes_out_again(klass: str, again: bool) -> None:
+    first: list[Exchange] = []
+
+    def script(exchange: Exchange) -> None:
+        first.append(exchange)
+        if len(first) == 1:
+            exchange.reset()
+        else:
+            exchange.answer(reply())
+
+    async with peer(script) as one, peer(script) as two, running(configuration(one, two)) as run:
+        answer = await run.ask(request(klass))
+        assert answer.status == (200 if again else 502)
+        assert len(first) == (2 if again else 1)
+        keys = {exchange.message.headers.get("idempotency-key") for exchange in first}
+        assert len(keys) == 1  # the repeat carries the key of the first
+
+
+@pytest.mark.parametrize("klass", ["search", "hold", "transfer"])
+@on_loop
+async def test_every_class_goes_elsewhere_when_a_host_is_full(klass: str) -> None:
+    turned_away: list[Exchange] = []
+
+    def script(exchange: Exchange) -> None:
+        if turned_away:
+            exchange.answer(reply())
+        else:
+            turned_away.append(exchange)
+            exchange.answer(FULL)
+
+    async with peer(script) as one, peer(script) as two, running(configuration(one, two)) as run:
+        assert (await run.ask(request(klass))).status == 200
+        assert len(one.seen) == len(two.seen) == 1
+
+
+@on_loop
+async def test_a_keyed_request_that_may_have_run_stays_in_its_group() -> None:
+    async with peer(reset) as one, peer() as other:
+        config = configuration(one)
+        config["settings"]["lanes"][1]["group"] = "cell"
+        config["known"] = hosts_list(
+            7, endpoint("s-0", one.address, group=1), endpoint("s-1", other.address, group=2)
+        )
+        async with running(config) as run:
+            statuses = [(await run.ask(request("hold"))).status for _ in range(8)]
+            assert one.seen and set(statuses) == {200, 502}
+            # What was reset at one host has not gone to the other group.
+            lost = {e.message.headers["x-call-id"] for e in one.seen}
+            assert lost.isdisjoint(e.message.headers["x-call-id"] for e in other.seen)
+
+
+@on_loop
+async def test_what_the_host_says_passes_back_and_what_the_client_says_passes_on() -> None:
+    script = answers(
+        reply(200, b"\x00\xff body", "Content-Type: text/x", "X-Hit: 1", "X-Load-Report: TEXT queue=2")
+    )
+    async with peer(script) as host, running(configuration(host)) as run:
+        told = outcomes(run)
+        data = request("hold", b"slip", connection="keep-alive, x-hop", x_hop="1", budget_ms=5_000)
+        answer = await run.ask(data)
+        assert answer.body == b"\x00\xff body"
+        assert answer.headers["content-type"] == "text/x" and answer.headers["x-hit"] == "1"
+        assert "x-load-report" not in answer.headers
+        message = host.seen[0].message
+        assert message.first == "POST /hold/7f3a9c21e0b4d655 HTTP/1.1" and message.body == b"slip"
+        assert message.headers["x-call-id"] and message.headers["idempotency-key"]
+        assert 0 < int(message.headers["x-budget-ms"]) <= 5_000
+        assert "x-hop" not in message.headers
+        assert told[0].load is not None and told[0].load.queue == 2
+
+
+@pytest.mark.parametrize("report", ["TEXT queue=lots", "JSON {}", "TEXT", "TEXT =,=", "\xff"])
+@on_loop
+async def test_a_load_report_that_cannot_be_read_costs_nothing(report: str) -> None:
+    data = b"HTTP/1.1 200 X\r\nContent-Length: 0\r\nX-Load-Report: " + report.encode("latin-1") + b"\r\n\r\n"
+    async with peer(answers(data)) as host, running(configuration(host)) as run:
+        assert (await run.ask(request())).status == 200
+
+
+@on_loop
+async def test_answers_in_chunks_and_interim_answers_are_read() -> None:
+    data = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data += b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+    async with peer(answers(data)) as host, running(configuration(host)) as run:
+        for _ in range(2):
+            assert (await run.ask(request())).body == b"abc"
+        assert host.opened == 1
+
+
+@on_loop
+async def test_a_client_that_leaves_ends_the_attempt() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        told = outcomes(run)
+        client = await run.connect()
+        client.send(request("transfer"))
+        await until(lambda: host.seen)
+        client.close()
+        await until(lambda: host.ended == 1)
+        await until(lambda: told)
+        assert told[0].outcome is Outcome.CANCELLED and told[0].finished
+        assert not run.gateway.held and not run.gateway.balancer.requests
+
+
+@on_loop
+async def test_an_error_of_the_module_fails_one_request_and_no_more() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        handle = run.gateway.balancer.handle
+        run.gateway.balancer.handle = None  # type: ignore[method-assign,assignment]
+        assert (await run.ask(request("transfer"))).status == 502
+        run.gateway.balancer.handle = handle  # type: ignore[method-assign]
+        assert (await run.ask(request("transfer"))).status == 200
+
+
+@on_loop
+async def test_a_send_that_comes_too_late_is_moot() -> None:
+    from caperdrift.interface import Send
+
+    async with peer() as host, running(configuration(host)) as run:
+        told = outcomes(run)
+        client = await run.connect()
+        host.script = silent
+        data = request("transfer")
+        client.send(data)
+        await until(lambda: host.seen)
+        id_ = host.seen[0].message.headers["x-call-id"]
+        run.gateway.carry_out(Send(id_, 12345, 1_000_000))  # a host that nobody has listed
+        assert [event.outcome for event in told] == [Outcome.MOOT]
+        client.close()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_gateway_pools.py
@@ -0,0 +1,203 @@
+"""Connections to hosts: kept, reused, given up; drains."""
+
+from __future__ import annotations
+
+import asyncio
+
+from caperdrift.interface import ListKind, Outcome
+from cloverkeel.clock import now_us
+from cloverkeel.config import parse
+from cloverkeel.discovery import parse_list
+from cloverkeel.hosts import Attempt, HostConnection
+from cloverkeel.http1 import Reply
+from tests.sockets import (
+    Exchange,
+    Running,
+    answers,
+    configuration,
+    endpoint,
+    host_id,
+    hosts_list,
+    on_loop,
+    peer,
+    reply,
+    request,
+    running,
+    silent,
+    until,
+)
+
+
+def idle(run: Running, number: int = 0) -> list[HostConnection]:
+    return run.gateway.pools.hosts[host_id(number)].idle
+
+
+@on_loop
+async def test_a_connection_is_used_again_and_only_by_one_at_a_time() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        tasks = [asyncio.create_task(run.ask(request())) for _ in range(2)]
+        await until(lambda: len(host.seen) == 2)
+        assert host.opened == 2
+        for exchange in host.seen:
+            exchange.answer(reply())
+        await asyncio.gather(*tasks)
+        host.script = answers(reply())
+        for _ in range(3):
+            assert (await run.ask(request())).status == 200
+        assert host.opened == 2
+        last = [exchange.connection for exchange in host.seen[2:]]
+        assert len(set(last)) == 1  # the one used last, so that the other can age
+
+
+@on_loop
+async def test_a_connection_that_the_host_has_closed_is_not_written_to() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        assert (await run.ask(request("transfer"))).status == 200
+        pool, connection = run.gateway.pools, idle(run)[0]
+        host.seen[0].writer.close()
+        await until(lambda: not connection.is_fresh())
+        ended: list[Outcome] = []
+        # Sent before the loop has told of the end, if it has not yet.
+        if not idle(run):
+            idle(run).append(connection)
+
+        def on_end(attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
+            ended.append(outcome)
+
+        data = request("transfer")
+        pool.send(Attempt(pool.hosts[host_id(0)], data, on_end), 20_000_000)
+        await until(lambda: ended)
+        assert ended == [Outcome.OK] and host.opened == 2
+
+
+@on_loop
+async def test_the_poll_sees_an_end_before_the_loop_does() -> None:
+    """A blocked loop must not write to what is already closed: the kernel is asked, not the loop's memory."""
+    import socket
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(True)
+        config = configuration(f"127.0.0.1:{listener.getsockname()[1]}")
+        async with running(config) as run:
+            loop = asyncio.get_running_loop()
+            asking = asyncio.create_task(run.ask(request()))
+            taken, _ = await loop.run_in_executor(None, listener.accept)
+            await loop.run_in_executor(None, taken.recv, 65536)
+            taken.sendall(reply())
+            await asking
+            connection = idle(run)[0]
+            assert connection.is_fresh()
+            taken.close()  # and the loop has had no turn since
+            assert not connection.is_fresh()
+
+
+@on_loop
+async def test_a_host_that_asks_for_the_end_of_a_connection_gets_it() -> None:
+    async with (
+        peer(answers(reply(200, b"", "Connection: close"))) as host,
+        running(configuration(host)) as run,
+    ):
+        for opened in (1, 2):
+            assert (await run.ask(request())).status == 200
+            assert host.opened == opened
+        assert not idle(run)
+
+
+@on_loop
+async def test_spare_connections_end_soon_and_the_last_before_the_host_ends_it() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        tasks = [asyncio.create_task(run.ask(request())) for _ in range(4)]
+        await until(lambda: len(host.seen) == 4)
+        for exchange in host.seen:
+            exchange.answer(reply())
+        await asyncio.gather(*tasks)
+        pools = run.gateway.pools
+        for connection in idle(run):
+            connection.idle_since_us -= 10_000_000
+        pools.sweep()
+        await until(lambda: pools.open == 1)
+        idle(run)[0].idle_since_us -= 45_000_000
+        pools.sweep()
+        await until(lambda: pools.open == 0 and host.ended == 4)
+
+
+@on_loop
+async def test_a_drained_host_keeps_no_idle_connection_and_finishes_what_it_has() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        asking = asyncio.create_task(run.ask(request()))
+        await until(lambda: host.seen)
+        names = parse(configuration(host)).names
+        _, _, entries = parse_list(hosts_list(8, endpoint("s-0", host.address, status="DRAINING")), names)
+        run.gateway.on_list(ListKind.DELTA, entries)
+        assert (await run.ask(request())).status == 503  # nowhere to go
+        host.seen[0].answer(reply(200, b"done"))
+        assert (await asking).body == b"done"
+        await until(lambda: host.ended == 1)
+        assert len(host.seen) == 1
+
+
+@on_loop
+async def test_nothing_starts_after_the_grace_of_a_drain() -> None:
+    """A connection that comes up too late carries nothing, even if the attempt was begun in time."""
+    async with peer() as host, running(configuration(host)) as run:
+        pools, ended = run.gateway.pools, list[Outcome]()
+
+        def on_end(attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
+            ended.append(outcome)
+
+        known = pools.hosts[host_id(0)]
+        pools.send(Attempt(known, request(), on_end), 20_000_000)
+        known.drained_us = now_us() - 1_000_001
+        await until(lambda: ended)
+        assert ended == [Outcome.CONNECT_FAILED] and not host.seen
+        pools.send(Attempt(known, request(), on_end), 20_000_000)
+        assert ended == [Outcome.CONNECT_FAILED] * 2
+
+
+@on_loop
+async def test_a_host_that_moves_is_reached_at_its_new_address() -> None:
+    async with peer() as old, peer() as new, running(configuration(old)) as run:
+        old.script = silent
+        asking = asyncio.create_task(run.ask(request()))
+        await until(lambda: old.seen)
+        names = parse(configuration(old)).names
+        _, _, entries = parse_list(hosts_list(8, endpoint("s-0", new.address)), names)
+        run.gateway.on_list(ListKind.DELTA, entries)
+        old.seen[0].answer(reply())
+        await asking
+        assert not idle(run)  # the old connection is not kept for the new address
+        assert (await run.ask(request())).status == 200
+        assert len(old.seen) == len(new.seen) == 1
+
+
+@on_loop
+async def test_idle_connections_make_room_when_descriptors_run_short() -> None:
+    async with peer() as one, peer() as two:
+        config = configuration(one, two)
+        async with running(config) as run:
+            client = await run.connect()
+            for _ in range(6):
+                assert (await client.ask(request())).status == 200
+            pools = run.gateway.pools
+            had = pools.open
+            assert had >= 1
+            object.__setattr__(run.server.config, "sockets", 1)
+            run.server.make_room()
+            await until(lambda: pools.open == had - 1)
+            for _ in range(had):
+                run.server.make_room()
+            await until(lambda: not run.server.connections and pools.open == 0)
+            client.close()
+
+
+@on_loop
+async def test_an_answer_that_overtakes_its_request_ends_the_connection() -> None:
+    """Bytes beyond the one answer that is due belong to nothing: the connection is not used again."""
+
+    def twice(exchange: Exchange) -> None:
+        exchange.answer(reply(200, b"mine") + reply(200, b"whose?"))
+
+    async with peer(twice) as host, running(configuration(host)) as run:
+        for opened in (1, 2):
+            assert (await run.ask(request())).body == b"mine"
+            assert host.opened == opened
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,193 @@
+"""The real program as a process: start, configuration, signals, exit."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.sockets import Client, answers, configuration, on_loop, peer, reply, request, silent, until
+
+ROOT = Path(__file__).parent.parent
+READY = b"GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"
+
+
+async def start(environment: dict[str, str]) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cloverkeel", cwd=ROOT, env=os.environ | environment,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+
+
+def free_port() -> int:
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+        assert isinstance(port, int)
+        return port
+
+
+@asynccontextmanager
+async def program(
+    folder: Path, config: dict[str, Any]
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
+    """The program, once it is ready, and its port."""
+    port = free_port()
+    file = folder / "config.json"
+    file.write_text(json.dumps(config | {"listen": f"127.0.0.1:{port}"}))
+    process = await start({"LB_CONFIG": str(file)})
+    try:
+        while (await ask(port, READY)) != 200:
+            assert process.returncode is None
+            await asyncio.sleep(0.01)
+        yield process, port
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def connect(port: int) -> Client:
+    return Client(*await asyncio.open_connection("127.0.0.1", port))
+
+
+async def ask(port: int, data: bytes) -> int:
+    try:
+        client = await connect(port)
+        status = (await client.ask(data)).status
+    except OSError:
+        return 0
+    client.close()
+    return status
+
+
+@on_loop
+async def test_it_serves_and_ends_with_0(tmp_path: Path) -> None:
+    async with peer() as host, program(tmp_path, configuration(host)) as (process, port):
+        assert await ask(port, request("transfer", b"x")) == 200
+        process.send_signal(signal.SIGTERM)
+        _, errors = await process.communicate()
+        assert process.returncode == 0 and b"Traceback" not in errors
+
+
+@on_loop
+async def test_a_restart_finishes_what_is_held_and_still_takes_what_comes(tmp_path: Path) -> None:
+    async with peer(silent) as host, program(tmp_path, configuration(host)) as (process, port):
+        idle, busy = await connect(port), await connect(port)
+        assert (await idle.ask(READY)).status == 200
+        busy.send(request("transfer", b"held"))
+        await until(lambda: host.seen)
+        process.send_signal(signal.SIGTERM)
+        assert await idle.reader.read() == b""  # idle ones are closed, and so the signal has come
+        process.send_signal(signal.SIGTERM)  # a second one changes nothing
+        assert await ask(port, READY) == 503
+        late = await connect(port)
+        late.send(request("transfer", b"late"))
+        await until(lambda: len(host.seen) == 2)
+        for exchange in host.seen:
+            exchange.answer(reply(200, exchange.message.body))
+        for client, body in ((busy, b"held"), (late, b"late")):
+            answer = await client.answer()
+            assert (answer.status, answer.body) == (200, body)
+            assert answer.headers["connection"] == "close"
+        assert await process.wait() == 0
+        for client in (idle, busy, late):
+            client.close()
+
+
+@on_loop
+async def test_all_that_was_read_on_one_connection_is_answered_on_the_way_out(tmp_path: Path) -> None:
+    async with peer(silent) as host, program(tmp_path, configuration(host)) as (process, port):
+        idle, client = await connect(port), await connect(port)
+        assert (await idle.ask(READY)).status == 200
+        client.send(request("transfer", b"1") + request("transfer", b"2"))
+        await until(lambda: host.seen)
+        process.send_signal(signal.SIGTERM)
+        assert await idle.reader.read() == b""
+        host.script = answers(reply(200, b"2"))
+        host.seen[0].answer(reply(200, b"1"))
+        assert [(await client.answer()).body for _ in range(2)] == [b"1", b"2"]
+        assert await process.wait() == 0
+        idle.close()
+        client.close()
+
+
+@on_loop
+async def test_what_never_ends_does_not_keep_it(tmp_path: Path) -> None:
+    async with peer(silent) as host, program(tmp_path, configuration(host)) as (process, port):
+        client = await connect(port)
+        client.send(request("transfer"))
+        await until(lambda: host.seen)
+        process.send_signal(signal.SIGTERM)
+        _, errors = await process.communicate()
+        assert process.returncode == 0 and b"1 requests unanswered" in errors
+        client.close()
+
+
+@on_loop
+async def test_a_signal_during_the_start_ends_it_with_0(tmp_path: Path) -> None:
+    pipe = tmp_path / "config.json"
+    os.mkfifo(pipe)  # the program waits here for its configuration
+    process = await start({"LB_CONFIG": str(pipe)})
+    end = await asyncio.get_running_loop().run_in_executor(None, os.open, pipe, os.O_WRONLY)
+    process.send_signal(signal.SIGTERM)
+    assert await process.wait() == 0
+    os.close(end)
+
+
+BAD: list[tuple[str | None, str]] = [
+    (None, "No such file"),
+    ("", "not JSON"),
+    ("[]", "not an object"),
+    ("{}", "no settings"),
+    ('{"settings":{}}', "listen"),
+    ('{"listen":"127.0.0.1:1","settings":{}}', "discovery"),
+    ('{"listen":"127.0.0.1:x","settings":{}}', "listen"),
+    ('{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{}}', "classes"),
+    ('{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{"lanes":[{"name":"a"}]}}', "giveUpUs"),
+    ('{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","settings":{"lanes":[{"giveUpUs":1}]}}', "name"),
+    ('{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","limits":[],"settings":{}}', "classes"),
+    ('{"listen":"127.0.0.1:1","discovery":"127.0.0.1:1","known":[1],"settings":{}}', "known"),
+]
+
+
+@pytest.mark.parametrize(("text", "why"), BAD)
+@on_loop
+async def test_a_configuration_that_cannot_be_used_is_one_line_and_2(
+    tmp_path: Path, text: str | None, why: str
+) -> None:
+    file = tmp_path / "config.json"
+    if text is not None:
+        file.write_text(text)
+    process = await start({"LB_CONFIG": str(file)})
+    output, errors = await process.communicate()
+    assert process.returncode == 2 and not output
+    assert errors.count(b"\n") == 1 and why in errors.decode()
+
+
+@on_loop
+async def test_no_configuration_is_one_line_and_2() -> None:
+    process = await start({"LB_CONFIG": ""})
+    _, errors = await process.communicate()
+    assert process.returncode == 2 and errors == b"cloverkeel: LB_CONFIG is not set\n"
+
+
+@on_loop
+async def test_an_address_in_use_is_one_line(tmp_path: Path) -> None:
+    async with peer() as host:
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(configuration(host) | {"listen": host.address}))
+        process = await start({"LB_CONFIG": str(file)})
+        _, errors = await process.communicate()
+        assert process.returncode == 1 and errors.startswith(b"cloverkeel: cannot listen on ")
+        assert errors.count(b"\n") == 1
