--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -174,3 +174,44 @@
         answer = await run.ask(request())
         assert answer.status == 503
         assert 0 < float(answer.headers["retry-after"]) <= 2
+
+
+@on_loop
+async def test_on_the_way_out_a_new_connection_has_time_for_its_first_request() -> None:
+    """It may bring what has crossed the end of an older connection, and that is sent only once more."""
+    async with peer() as host, running(configuration(host)) as run:
+        client = await run.connect()
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        run.server.close_idle()
+        assert not connection.deaf
+        answer = await client.ask(request("transfer"))
+        assert answer.status == 200
+        run.server.close_idle()
+        assert await client.reader.read() == b""
+        silent_one = await run.connect()
+        await until(lambda: run.server.connections)
+        (connection,) = run.server.connections
+        connection.opened_s -= 60
+        run.server.close_idle()
+        assert await silent_one.reader.read() == b""
+        client.close()
+        silent_one.close()
+
+
+@on_loop
+async def test_what_waits_to_be_read_keeps_its_connection() -> None:
+    """The kernel is asked: a request may have reached the machine while the loop was elsewhere."""
+    import socket
+
+    async with peer() as host, running(configuration(host)) as run:
+        with socket.create_connection(("127.0.0.1", run.port)) as client:
+            await until(lambda: run.server.connections)
+            (connection,) = run.server.connections
+            connection.served = True
+            client.sendall(request("transfer"))  # and the loop has had no turn since
+            run.server.close_idle()
+            assert not connection.deaf
+            loop = asyncio.get_running_loop()
+            answer = await loop.run_in_executor(None, client.recv, 65536)
+            assert answer.startswith(b"HTTP/1.1 200 ")
