--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -14,7 +14,18 @@
 
 import pytest
 
-from tests.sockets import Client, answers, configuration, on_loop, peer, reply, request, silent, until
+from tests.sockets import (
+    Client,
+    Exchange,
+    answers,
+    configuration,
+    on_loop,
+    peer,
+    reply,
+    request,
+    silent,
+    until,
+)
 
 ROOT = Path(__file__).parent.parent
 READY = b"GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"
@@ -191,3 +202,56 @@
         _, errors = await process.communicate()
         assert process.returncode == 1 and errors.startswith(b"cloverkeel: cannot listen on ")
         assert errors.count(b"\n") == 1
+
+
+@on_loop
+async def test_no_request_is_lost_at_a_restart_under_way(tmp_path: Path) -> None:
+    """Clients keep sending, and connect anew, for as long as the front lets them after the signal.
+
+    A connection that ends between requests may have crossed one: that is sent once more, on a new one.
+    """
+
+    async def slowly(exchange: Exchange) -> None:
+        await asyncio.sleep(0.005)
+        exchange.answer(reply(200, exchange.message.body))
+
+    async with peer(slowly) as host, program(tmp_path, configuration(host)) as (process, port):
+        loop = asyncio.get_running_loop()
+        end_s: list[float] = []
+        served, lost = 0, 0
+
+        async def client(number: int) -> None:
+            nonlocal served, lost
+            open_: Client | None = None
+            while not end_s or loop.time() < end_s[0]:
+                data = request("transfer", b"%d" % number)
+                for again in (False, True):
+                    used = open_ is not None
+                    try:
+                        open_ = open_ or await connect(port)
+                        answer = await open_.ask(data)
+                    except (OSError, asyncio.IncompleteReadError):
+                        if open_ is not None:
+                            open_.close()
+                        open_ = None
+                        if again or not used:
+                            lost += 1
+                            break
+                        continue
+                    assert answer.status in (200, 503)
+                    served += 1
+                    if answer.headers.get("connection") == "close":
+                        open_.close()
+                        open_ = None
+                    break
+            if open_ is not None:
+                open_.close()
+
+        clients = [asyncio.create_task(client(number)) for number in range(12)]
+        await until(lambda: served > 50)
+        process.send_signal(signal.SIGTERM)
+        end_s.append(loop.time() + 0.4)
+        before = served
+        await asyncio.gather(*clients)
+        assert await process.wait() == 0
+        assert lost == 0 and served > before
