--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -6,6 +6,8 @@
 import signal
 import sys
 
+END_S = 3.4  # after the signal, whatever is left: the longest a client waits, and the time that new ones come
+
 
 def _end_early(signum: int, frame: object) -> None:
     """A signal before anything is held: there is nothing to finish."""
@@ -33,8 +35,6 @@
     from cloverkeel.http1 import log
     from cloverkeel.server import Server
 
-    end_s = 3.4  # after the signal, whatever is left
-
     async def serve() -> int:
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
@@ -51,7 +51,7 @@
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
         try:
-            async with asyncio.timeout(end_s):
+            async with asyncio.timeout(END_S):
                 await server.drain()
         except TimeoutError:
             log(f"ended with {len(gateway.held)} requests unanswered")
--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -91,7 +91,7 @@
     return int(raw["index"]), bool(raw.get("snapshot", False)), list(entries.values())
 
 
-class _Call(asyncio.Protocol):
+class _Line(asyncio.Protocol):
     """The connection to discovery: one call at a time."""
 
     def __init__(self) -> None:
@@ -200,13 +200,13 @@
         if self.fetching is task:
             self.fetching = None
 
-    async def _connect(self) -> _Call:
+    async def _connect(self) -> _Line:
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CALL_TIMEOUT_S):
-            _, call = await loop.create_connection(_Call, *self.address)
+            _, call = await loop.create_connection(_Line, *self.address)
         return call
 
-    async def _ask(self, call: _Call, target: bytes, wait_s: float) -> None:
+    async def _ask(self, call: _Line, target: bytes, wait_s: float) -> None:
         head = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, self.host)
         async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
             reply = await call.ask(head)
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -14,7 +14,7 @@
 
 from cloverkeel.config import Config, stable_id
 from cloverkeel.gateway import Call, Gateway
-from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, Reply, end_to_end, header, log
+from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, Reply, end_to_end, header
 
 READY_PATH = b"/health/ready"
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
@@ -36,9 +36,10 @@
 class RequestError(ValueError):
     """A request that is answered here, with this status."""
 
-    def __init__(self, status: int, why: str) -> None:
+    def __init__(self, status: int, why: str, *headers: Header) -> None:
         super().__init__(why)
         self.status = status
+        self.headers = list(headers)
 
 
 class Request:
@@ -241,7 +242,7 @@
             try:
                 self.take(request)
             except RequestError as error:
-                self.answer(error.status, [], f"{error}\n".encode())
+                self.answer(error.status, error.headers, f"{error}\n".encode())
 
     def take(self, request: Request) -> None:
         if request.fault is not None:
@@ -249,7 +250,7 @@
         path = request.target.partition(b"?")[0]
         if path == READY_PATH:
             if request.method not in (b"GET", b"HEAD"):
-                raise RequestError(405, "GET it")
+                raise RequestError(405, "GET it", (b"Allow", b"GET, HEAD"))
             self.answer(200 if self.server.is_ready else 503, [], b"")
             return
         call = self.read_call(request, path)
@@ -274,7 +275,7 @@
         settings = config.settings.classes[klass]
         method = b"GET" if settings.effect is Effect.SAFE else b"POST"
         if request.method != method:
-            raise RequestError(405, f"{method.decode()} it")
+            raise RequestError(405, f"{method.decode()} it", (b"Allow", method))
         if settings.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
             raise RequestError(400, "no Idempotency-Key")
         id_ = headers.get(b"x-call-id")
@@ -366,6 +367,3 @@
     if body or request.method == b"POST":
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n"
-
-
-__all__ = ["ClientConnection", "Server", "log"]
