Drop kept connections to a host that has started anew

Cause: Pools.put looked at the address alone. A machine that went silent may come back without having ended its old connections; what is written to one then ends as a reset, which an unsafe request can't repeat. The test fails without the change to put.

--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -162,7 +162,7 @@
                 self.pools.remove(listed.server)
             else:
                 ready = listed.status is ServerStatus.READY
-                self.pools.put(listed.server, entry.name, entry.address, ready)
+                self.pools.put(listed.server, entry.name, entry.address, ready, listed.started_us)
         return ServerList(kind, tuple(entry.listed for entry in entries))
 
     # Actions out
--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -29,6 +29,7 @@
     id: int
     name: str
     address: Address
+    started_us: int = 0  # as discovery tells it
     drained_us: int | None = None  # when this gateway was told that it drains or is gone
     idle: list[HostConnection] = field(default_factory=list)  # the most recently used last
     open: int = 0  # connections up or coming up
@@ -144,13 +145,15 @@
 
     # Hosts
 
-    def put(self, id_: int, name: str, address: Address, ready: bool) -> None:
-        """Learn of a host, of its new address, or that it drains."""
+    def put(self, id_: int, name: str, address: Address, ready: bool, started_us: int = 0) -> None:
+        """Learn of a host, of its new address, that it has started anew, or that it drains."""
         host = self.hosts.get(id_)
         if host is None:
-            host = self.hosts[id_] = Host(id_, name, address)
-        if host.address != address:
-            host.address = address
+            host = self.hosts[id_] = Host(id_, name, address, started_us)
+        if (host.address, host.started_us) != (address, started_us):
+            # Guards against writing to a connection of its earlier life: a machine that went silent may not
+            # have ended it, and what is written there ends as a reset.
+            host.address, host.started_us = address, started_us
             self.close_idle(id_)
         if ready:
             host.drained_us = None
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -170,6 +170,19 @@
         assert len(old.seen) == len(new.seen) == 1
 
 
+@on_loop
+async def test_a_host_that_has_started_anew_gets_new_connections() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        names = parse(configuration(host)).names
+        assert (await run.ask(request())).status == 200
+        for since_ms, kept in ((0, 1), (1_000, 0)):
+            _, _, entries = parse_list(hosts_list(8, endpoint("s-0", host.address, since_ms=since_ms)), names)
+            run.gateway.on_list(ListKind.DELTA, entries)
+            assert len(idle(run)) == kept
+        assert (await run.ask(request())).status == 200
+        assert host.opened == 2
+
+
 @on_loop
 async def test_idle_connections_make_room_when_descriptors_run_short() -> None:
     async with peer() as one, peer() as two:
