SIGHUP: read the configuration again and move to the discovery it names

Cause: __main__ had no handler for SIGHUP, so the default action ended the program and all it held (exit 129, 16 requests lost). Now a handler stands from the first line of main; the file is read off the loop, once for signals that come together; Discovery.move calls off what is under way at the old address (its late words cannot be heard: the task is cancelled before it can take them), asks for the whole list at the new one and watches from there. A file that cannot be used is one line of log. Also: any exception of a call is word of its failure; one that was not foreseen used to end the watch for good.

Tests with the real process: the move under traffic and back, two signals at once, a call under way, failing calls, files that cannot be used, on the way out, and while the file is first read.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -15,6 +15,8 @@
 
 
 def main() -> int:
+    early: list[int] = []  # SIGHUP before the loop runs: the file may have been read by then
+    signal.signal(signal.SIGHUP, lambda signum, frame: early.append(signum))
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, _end_early)
     # Imported late: a signal during the start must find its handler.
@@ -33,6 +35,7 @@
 
     from cloverkeel.gateway import Gateway
     from cloverkeel.http1 import log
+    from cloverkeel.reload import Reloader
     from cloverkeel.server import Server
 
     async def serve() -> int:
@@ -41,12 +44,16 @@
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
         gateway = Gateway(config)
+        reloader = Reloader(gateway.discovery)
+        loop.add_signal_handler(signal.SIGHUP, reloader.ask)
         server = Server(config, gateway)
         try:
             await server.start()
         except OSError as error:
             log(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}")
             return 1
+        if early:
+            reloader.ask()
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         await stop.wait()
--- a/cloverkeel/discovery.py
+++ b/cloverkeel/discovery.py
@@ -136,14 +136,14 @@
     """Asks for the list when told to, and tells `on_list` what came; failures too."""
 
     def __init__(self, address: Address, names: Names, on_list: OnList, pushed: bool) -> None:
-        self.address, self.names, self.on_list = address, names, on_list
+        self.names, self.on_list = names, on_list
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
         self.failures = 0
         self.closed = False
         self.index: int | None = None
         self.watching: asyncio.Task[None] | None = None
         self.fetching: asyncio.Task[None] | None = None
-        self.host = f"{address[0]}:{address[1]}".encode()
+        self.address = address
 
     def take_known(self, raw: dict[str, Any]) -> None:
         """Begin with the list that this gateway had before it was restarted."""
@@ -167,22 +167,41 @@
         elif on and self.watching is None:
             self.watching = asyncio.get_running_loop().create_task(self._guard(self._watch()))
 
+    def move(self, address: Address) -> None:
+        """Ask at another address from now on; nothing that the old one may still say is heard.
+
+        The whole list comes first: versions of two services need not be comparable.
+        """
+        if self.closed:
+            return
+        fetching = self.fetching is not None
+        self._cancel()
+        self.address, self.index, self.failures = address, None, 0
+        self.watch(True)
+        if fetching:
+            self.fetch()
+
     def fetch(self) -> None:
         """Ask for the whole list once."""
-        if self.fetching is None:
+        if self.fetching is None and not self.closed:
             self.fetching = asyncio.get_running_loop().create_task(self._guard(self._fetch()))
 
     def close(self) -> None:
         self.closed = True
+        self._cancel()
+
+    def _cancel(self) -> None:
         for task in (self.watching, self.fetching):
             if task is not None:
                 task.cancel()
+        self.watching = self.fetching = None
 
     async def _guard(self, call: Coroutine[Any, Any, None]) -> None:
         """Turn a failure of a call into word of it; the module decides when to ask again."""
         try:
             await call
-        except (OSError, CallError, TimeoutError, ValueError, KeyError, TypeError) as error:
+        except Exception as error:
+            # Whatever it is: a call that ends without a word would never be made again.
             # Cleared first: the module may ask again while it hears of this.
             self._forget(asyncio.current_task())
             log(f"discovery: {error or type(error).__name__}")
@@ -207,7 +226,7 @@
         return call
 
     async def _ask(self, call: _Line, target: bytes, wait_s: float) -> None:
-        head = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (target, self.host)
+        head = b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (target, self.address[0].encode(), self.address[1])
         async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
             reply = await call.ask(head)
         if reply.status != 200:
--- /dev/null
+++ b/tests/test_gateway_reload.py
@@ -0,0 +1,165 @@
+"""SIGHUP with the real program: discovery moves, and nothing else is disturbed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.sockets import (
+    Exchange,
+    Peer,
+    configuration,
+    endpoint,
+    list_reply,
+    on_loop,
+    peer,
+    reply,
+    request,
+    silent,
+    until,
+)
+from tests.test_gateway_process import ask, connect, program
+
+
+def replace(folder: Path, **changes: Any) -> None:
+    """As the platform does it: the new file takes the old one's place at once."""
+    file, new = folder / "config.json", folder / "new.json"
+    new.write_text(json.dumps(json.loads(file.read_text()) | changes))
+    os.replace(new, file)
+
+
+def lists_once(*endpoints: dict[str, object]) -> Any:
+    """Answer the call for the whole list; a watch hears nothing."""
+
+    def script(exchange: Exchange) -> None:
+        if "from=" not in exchange.message.first:
+            exchange.answer(list_reply(3, *endpoints))
+
+    return script
+
+
+def asked(registry: Peer) -> list[str]:
+    return [exchange.message.first.split(" ")[1] for exchange in registry.seen]
+
+
+@on_loop
+async def test_discovery_moves_at_once_while_requests_go_on(tmp_path: Path) -> None:
+    async with (
+        peer(silent) as old_host,
+        peer() as new_host,
+        peer(silent) as old,
+        peer(lists_once(endpoint("s-9", new_host.address))) as new,
+        program(tmp_path, configuration(old_host, discovery=old.address)) as (process, port),
+    ):
+        await until(lambda: old.seen)
+        client = await connect(port)
+        client.send(request("transfer", b"held"))
+        await until(lambda: old_host.seen)
+        replace(tmp_path, discovery=new.address)
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: len(new.seen) == 2)
+        # The whole list, then a watch from its version, on one connection; the old one is let go.
+        assert asked(new) == ["/registry/instances", "/registry/instances?from=3&hold_ms=20000"]
+        await until(lambda: old.ended == old.opened)
+        old_host.seen[0].answer(reply(200, b"held"))
+        assert (await client.answer()).body == b"held"
+        assert (await client.ask(request("transfer"))).status == 200
+        assert len(new_host.seen) == 1 and len(old_host.seen) == 1
+        # And back, with a second signal while the first is looked at.
+        replace(tmp_path, discovery=old.address)
+        process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: len(old.seen) == 2)
+        assert asked(old)[-1] == "/registry/instances"
+        client.close()
+
+
+@on_loop
+async def test_a_call_under_way_is_called_off_and_no_host_is_dropped(tmp_path: Path) -> None:
+    """SIGHUP comes while a call is under way; it is called off, and calls at the new address fail."""
+    async with (
+        peer() as host,
+        peer(silent) as old,
+        peer(lambda exchange: exchange.reset()) as new,
+        program(tmp_path, configuration(host, discovery=old.address)) as (process, port),
+    ):
+        await until(lambda: old.seen)
+        replace(tmp_path, discovery=new.address)
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: len(new.seen) >= 2)  # a failed call is made again
+        await until(lambda: old.ended)
+        assert await ask(port, request("transfer")) == 200  # the list that was known stands
+        new.script = silent
+
+
+@pytest.mark.parametrize("text", ["", "{}", '{"discovery":"127.0.0.1:1"}', None])
+@on_loop
+async def test_a_file_that_cannot_be_used_changes_nothing(tmp_path: Path, text: str | None) -> None:
+    async with (
+        peer() as host,
+        peer(silent) as registry,
+        program(tmp_path, configuration(host, discovery=registry.address)) as (process, port),
+    ):
+        await until(lambda: registry.seen)
+        if text is None:
+            os.remove(tmp_path / "config.json")
+        else:
+            (tmp_path / "config.json").write_text(text)
+        process.send_signal(signal.SIGHUP)
+        assert process.stderr is not None
+        line = await process.stderr.readline()
+        assert b"all stays as it is" in line
+        assert await ask(port, request("transfer")) == 200
+        assert registry.ended == 0
+        process.send_signal(signal.SIGTERM)
+        _, errors = await process.communicate()
+        assert process.returncode == 0 and errors.count(b"\n") == 1  # the line of the end
+
+
+@on_loop
+async def test_it_is_taken_on_the_way_out_and_before_the_loop_runs(tmp_path: Path) -> None:
+    async with (
+        peer(silent) as host,
+        peer(silent) as old,
+        peer(silent) as new,
+        program(tmp_path, configuration(host, discovery=old.address)) as (process, port),
+    ):
+        client = await connect(port)
+        client.send(request("transfer"))
+        await until(lambda: host.seen)
+        process.send_signal(signal.SIGTERM)
+        replace(tmp_path, discovery=new.address)
+        process.send_signal(signal.SIGHUP)
+        await until(lambda: new.seen)
+        host.seen[0].answer(reply(200, b"x"))
+        assert (await client.answer()).body == b"x"
+        assert await process.wait() == 0
+        client.close()
+
+
+@on_loop
+async def test_a_signal_while_the_file_is_first_read_is_kept(tmp_path: Path) -> None:
+    from tests.test_gateway_process import start
+
+    pipe = tmp_path / "config.json"
+    os.mkfifo(pipe)  # the program waits here for its configuration
+    async with peer() as host, peer(silent) as old, peer(silent) as new:
+        process = await start({"LB_CONFIG": str(pipe)})
+        loop = asyncio.get_running_loop()
+        end = await loop.run_in_executor(None, os.open, pipe, os.O_WRONLY)
+        process.send_signal(signal.SIGHUP)
+        config = configuration(host, discovery=old.address)
+        replaced = tmp_path / "new.json"
+        replaced.write_text(json.dumps(config | {"discovery": new.address}))
+        os.replace(replaced, pipe)
+        os.write(end, json.dumps(config).encode())
+        os.close(end)
+        await until(lambda: new.seen)
+        process.kill()
+        await process.wait()
