--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from caperdrift.balance import Balancer
 from caperdrift.interface import (
@@ -45,6 +46,16 @@
 from cloverkeel.http1 import Reply, log
 
 
+class Client(Protocol):
+    """Who waits for the final answer of a request; it gets just one of these."""
+
+    def on_served(self, call: Call, reply: Reply) -> None: ...
+
+    def on_refused(self, call: Call, retry_after_us: int) -> None: ...
+
+    def on_failed(self, call: Call, timed_out: bool) -> None: ...
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     """A client's request, as the gateway takes it."""
@@ -58,9 +69,7 @@
     tenant: int
     head: bytes  # request line and headers to pass on, all but the budget and the end
     body: bytes
-    on_served: Callable[[Reply], None]
-    on_refused: Callable[[int], None]  # with the time after which to come back, in microseconds
-    on_failed: Callable[[bool], None]  # with whether time ran out
+    client: Client
 
 
 @dataclass(slots=True, eq=False)
@@ -127,7 +136,11 @@
             log(f"the module failed at {event!r}\n{traceback.format_exc()}")
             actions = [Fail(event.request)] if isinstance(event, RequestArrived | AttemptEnded) else []
         for action in actions:
-            self.carry_out(action)
+            try:
+                self.carry_out(action)
+            except Exception:
+                # Guards the client whose event is being handled: an error here would end its connection.
+                log(f"failed at {action!r}\n{traceback.format_exc()}")
 
     def arrive(self, call: Call) -> bool:
         """Take a request; False if one with its id is held already."""
@@ -179,11 +192,11 @@
             case Refuse():
                 held = self.owed(action.request)
                 if held is not None:
-                    held.call.on_refused(action.retry_after_us)
+                    held.call.client.on_refused(held.call, action.retry_after_us)
             case Fail():
                 held = self.owed(action.request)
                 if held is not None:
-                    held.call.on_failed(held.timed_out)
+                    held.call.client.on_failed(held.call, held.timed_out)
             case Cancel():
                 self.cancel(action)
             case WatchList():
@@ -247,7 +260,7 @@
         held.timed_out = outcome is Outcome.TIMEOUT
         if not held.closed and outcome is Outcome.OK and reply is not None:
             self.finish(id_, held)
-            held.call.on_served(reply)
+            held.call.client.on_served(held.call, reply)
         elif held.closed and held.out == 0:
             self.held.pop(id_, None)
         return AttemptEnded(
--- a/cloverkeel/hosts.py
+++ b/cloverkeel/hosts.py
@@ -66,6 +66,7 @@
     __slots__ = (
         "address",
         "attempt",
+        "counted",
         "flushed",
         "host",
         "idle_since_us",
@@ -82,6 +83,7 @@
         self.replies = ReplyReader()
         self.flushed = True  # the last byte of what was written is with the kernel
         self.idle_since_us = 0
+        self.counted = False
         self.poll = select.poll()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -103,6 +105,8 @@
     def write(self, data: bytes) -> bool:
         """False if the connection turned out broken before the last byte was written."""
         assert self.transport is not None
+        if self.transport.is_closing():
+            return False
         self.transport.write(data)
         return not self.transport.is_closing()
 
@@ -197,6 +201,7 @@
         attempt.timers.append(later(connect_us / 1e6, self.on_connect_timeout, attempt))
         connection = HostConnection(self, host, attempt)
         attempt.connection = connection
+        connection.counted = True
         host.open += 1
         self.open += 1
         self.counts.opened += 1
@@ -271,21 +276,21 @@
     def on_connected(self, connection: HostConnection) -> None:
         attempt = connection.attempt
         if attempt is None or attempt.ended:
+            # Given up in the very turn in which it came up: its opening is cancelled, which closes it next.
             connection.attempt = None
-            self.keep(connection)
+            connection.close()
         elif not self.may_send(connection.host) or not self.put_on(connection, attempt):
             connection.attempt = None
             connection.close()
             self.end(attempt, Outcome.CONNECT_FAILED)
 
     def on_opened(self, opening: asyncio.Task[object], connection: HostConnection) -> None:
-        """Account for a connection that did not come up."""
-        if not opening.cancelled() and opening.exception() is None:
-            return
-        if connection.transport is None:
-            self.count_closed(connection)
-        if connection.attempt is not None:
-            self.end(connection.attempt, Outcome.CONNECT_FAILED)
+        """Account for a connection that did not come up, or was cancelled in the turn in which it did.
+
+        Guards against counting it for good: of the latter, no connection_lost need follow.
+        """
+        if opening.cancelled() or opening.exception() is not None:
+            self.on_lost(connection)
 
     def on_reply(self, connection: HostConnection, reply: Reply) -> None:
         attempt, connection.attempt = connection.attempt, None
@@ -310,11 +315,14 @@
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
         if attempt is not None:
-            self.end(attempt, Outcome.RESET if connection.flushed else Outcome.CONNECT_FAILED)
+            written = connection.transport is not None and connection.flushed
+            self.end(attempt, Outcome.RESET if written else Outcome.CONNECT_FAILED)
 
     def count_closed(self, connection: HostConnection) -> None:
-        connection.host.open -= 1
-        self.open -= 1
+        if connection.counted:
+            connection.counted = False
+            connection.host.open -= 1
+            self.open -= 1
 
     def keep(self, connection: HostConnection) -> None:
         host = connection.host
--- /dev/null
+++ b/cloverkeel/requests.py
@@ -0,0 +1,209 @@
+"""What clients send: requests from bytes, and every check on them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+import httptools
+
+from caperdrift.interface import Effect
+
+from cloverkeel.config import Config, stable_id
+from cloverkeel.gateway import Call, Client
+from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, end_to_end, header
+
+ID_LIMIT = 128
+SLICE = 4096  # bytes parsed before it is looked at how many requests they held
+NOT_PASSED_ON = frozenset({b"x-budget-ms"})
+ONCE = frozenset(
+    {b"x-call-id", b"x-call-class", b"x-caller", b"x-budget-ms", b"x-call-cost", b"idempotency-key"}
+)
+
+
+class RequestError(ValueError):
+    """A request that is answered here, with this status."""
+
+    def __init__(self, status: int, why: str, *headers: Header) -> None:
+        super().__init__(why)
+        self.status = status
+        self.headers = list(headers)
+
+
+class Request:
+    """One request as it was read; `fault` tells that it can't be, and nothing after it."""
+
+    __slots__ = ("body", "fault", "headers", "keep_alive", "method", "target")
+
+    def __init__(self, fault: RequestError | None = None) -> None:
+        self.method = b""
+        self.target = b""
+        self.headers: list[Header] = []
+        self.body: list[bytes] = []
+        self.keep_alive = False
+        self.fault = fault
+
+
+class RequestReader:
+    """Turns the bytes of one client's connection into requests."""
+
+    __slots__ = ("_body_size", "_on_expect", "_parser", "_reading", "_unparsed", "done", "is_broken", "rest")
+
+    def __init__(self, on_expect: Callable[[], None]) -> None:
+        self._parser = httptools.HttpRequestParser(self)
+        self._on_expect = on_expect
+        self._reading: Request | None = None
+        self._body_size = 0
+        self._unparsed = 0  # bytes since the parser last gave something away
+        self.done: deque[Request] = deque()  # read and not yet taken
+        self.rest = b""  # not yet parsed, as enough requests wait
+        self.is_broken = False  # nothing more is read
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether part of a request has come, and not all of it."""
+        return self._reading is not None or self._unparsed > 0 or bool(self.rest)
+
+    def feed(self, data: bytes, most: int) -> None:
+        """Read on, until so many requests wait: hundreds at once must not hold up everyone else."""
+        self.rest = self.rest + data if self.rest else data
+        while self.rest and not self.is_broken and len(self.done) < most:
+            piece, self.rest = self.rest[:SLICE], self.rest[SLICE:]
+            fault = self._parse(piece)
+            if fault is not None:
+                self.break_off(fault)
+
+    def break_off(self, fault: RequestError) -> None:
+        """Answer with this after what was read before, and read nothing more."""
+        self.is_broken = True
+        self._reading, self.rest = None, b""
+        self.done.append(Request(fault))
+
+    def _parse(self, piece: bytes) -> RequestError | None:
+        self._unparsed += len(piece)
+        try:
+            self._parser.feed_data(piece)
+        except httptools.HttpParserUpgrade:
+            return RequestError(400, "no other protocol is spoken here")
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            return cause if isinstance(cause, RequestError) else RequestError(400, "malformed")
+        # Guards against a head, a chunk's extension or blank lines without end: the parser hands a header
+        # over only once it is whole, and says nothing of the rest.
+        return RequestError(431, "the head is too long") if self._unparsed > HEAD_LIMIT else None
+
+    # httptools' callbacks
+
+    def on_message_begin(self) -> None:
+        self._reading = Request()
+        self._body_size = 0
+
+    def on_url(self, url: bytes) -> None:
+        assert self._reading is not None
+        self._reading.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        assert self._reading is not None
+        self._reading.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        request = self._reading
+        assert request is not None
+        self._unparsed = 0
+        request.method = self._parser.get_method()
+        headers = request.headers
+        if sum(len(name) + len(value) for name, value in headers) + len(request.target) > HEAD_LIMIT:
+            raise RequestError(431, "the head is too long")
+        if self._parser.get_http_version() not in ("1.1", "1.0"):
+            raise RequestError(505, "HTTP/1.1 is spoken here")
+        coding = header(headers, b"transfer-encoding")
+        if coding is not None and coding.lower() != b"chunked":
+            raise RequestError(501, "no transfer encoding but chunked is read")
+        length = header(headers, b"content-length")
+        if length is not None and int(length) > BODY_LIMIT:
+            raise RequestError(413, "the body is too long")
+        expected = header(headers, b"expect")
+        if expected is not None:
+            if expected.lower() != b"100-continue":
+                raise RequestError(417, "only 100-continue can be expected")
+            self._on_expect()
+
+    def on_body(self, data: bytes) -> None:
+        assert self._reading is not None
+        self._unparsed = 0
+        self._body_size += len(data)
+        if self._body_size > BODY_LIMIT:
+            raise RequestError(413, "the body is too long")
+        self._reading.body.append(data)
+
+    def on_message_complete(self) -> None:
+        request = self._reading
+        assert request is not None
+        self._reading = None
+        self._unparsed = 0
+        request.keep_alive = self._parser.should_keep_alive()
+        self.done.append(request)
+
+
+def read_call(request: Request, path: bytes, config: Config, client: Client) -> Call:
+    """The request in the module's terms."""
+    headers: dict[bytes, bytes] = {}
+    for name, value in request.headers:
+        name = name.lower()
+        if name in headers and name in ONCE:
+            raise RequestError(400, f"{name.decode()} comes twice")
+        headers[name] = value
+    names = config.names
+    parts = [part for part in path.split(b"/") if part]
+    named = headers.get(b"x-call-class")
+    if named is not None and named not in names.classes:
+        raise RequestError(400, "unknown class")
+    if not parts or not path.startswith(b"/") or parts[0] not in names.classes:
+        raise RequestError(404, "unknown path")
+    if b"#" in request.target:
+        raise RequestError(400, "a fragment is not sent")
+    if named is not None and named != parts[0]:
+        raise RequestError(400, "the class is not that of the path")
+    klass = names.classes[parts[0]]
+    settings = config.settings.classes[klass]
+    method = b"GET" if settings.effect is Effect.SAFE else b"POST"
+    if request.method != method:
+        raise RequestError(405, f"{method.decode()} it", (b"Allow", method))
+    if settings.effect is Effect.KEYED and not headers.get(b"idempotency-key"):
+        raise RequestError(400, "no Idempotency-Key")
+    id_ = headers.get(b"x-call-id")
+    if not id_ or len(id_) > ID_LIMIT:
+        raise RequestError(400, "no X-Call-Id that can be used")
+    budget_ms = _whole(headers.get(b"x-budget-ms"), "X-Budget-Ms")
+    body = b"".join(request.body)
+    # No client waits for longer than its class is given: what says so is cut to that.
+    patience_us = settings.give_up_us if budget_ms is None else min(budget_ms * 1000, settings.give_up_us)
+    return Call(
+        id=id_.decode("latin-1"),
+        klass=klass,
+        patience_us=patience_us,
+        key=stable_id(parts[-1], 8) if len(parts) > 1 else None,
+        work_us=_whole(headers.get(b"x-call-cost"), "X-Call-Cost"),
+        is_retry=headers.get(b"x-again") == b"1",
+        tenant=names.tenants.get(headers.get(b"x-caller", b""), 0),
+        head=_head(request, body),
+        body=body,
+        client=client,
+    )
+
+
+def _whole(text: bytes | None, name: str) -> int | None:
+    if text is None:
+        return None
+    if not text.isdigit() or len(text) > 15:
+        raise RequestError(400, f"{name} is not a whole number")
+    return int(text)
+
+
+def _head(request: Request, body: bytes) -> bytes:
+    """What goes on to a host, all but the budget and the empty line."""
+    lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+    lines += [b"%s: %s" % pair for pair in end_to_end(request.headers, NOT_PASSED_ON)]
+    if body or request.method == b"POST":
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n"
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -50,6 +50,7 @@
 
 
 CLOSED_PORT = "127.0.0.1:1"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
 FULL = reply(503, b"", "X-Rejected: 1")
 
 
@@ -65,6 +66,20 @@
         (answers(reply(504, b"", "X-Rejected: 1")), Outcome.FULL, 503),
         (reset, Outcome.RESET, 502),
         (half_an_answer, Outcome.RESET, 502),  # a 200 must be whole
+        # What can't be an answer is judged by what has come; the rest is not waited for.
+        (answers(b"HTTP/1.1 200 OK\r\nX-Pad: " + b"p" * 20_000), Outcome.ERROR, 502),
+        (answers(b"HTTP/1.1 200 " + b"O" * 20_000), Outcome.ERROR, 502),
+        (answers(b"HTTP/1.1 200 OK\r\n" + b"X-Pad: p\r\n" * 2_000), Outcome.ERROR, 502),
+        (answers(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n"), Outcome.ERROR, 502),
+        (answers(b"HTTP/1.1 200 OK\r\n\r\nno length"), Outcome.ERROR, 502),
+        (answers(b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nfine"), Outcome.ERROR, 502),
+        (answers(CHUNKED + b"Content-Length: 4\r\n\r\n4\r\nfine\r\n0\r\n\r\n"), Outcome.ERROR, 502),
+        (answers(CHUNKED + b"\r\n4\r\nfine\r\nzz\r\n"), Outcome.ERROR, 502),
+        (answers(b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"), Outcome.ERROR, 502),
+        (answers(b"HTTP/0.9 200 OK\r\nContent-Length: 4\r\n\r\nfine"), Outcome.ERROR, 502),
+        (answers(b"HTTP/1.1 100 X\r\n\r\n" * 9), Outcome.ERROR, 502),
+        (answers(b"HTTP/1.1 100 X\r\n\r\n" * 3 + reply(200, b"a book")), Outcome.OK, 200),
+        (answers(reply(200, b"a book", "X-Load-Report: TEXT queue=\xff, , =1")), Outcome.OK, 200),
     ],
 )
 @on_loop
