Module: no cascade of breakers where failures are common; calmer shedding

It now takes the last 100 outcomes of all other servers, for trials too, and the allowance for chance grows with it. Repeats after an error or reset, no sign of a crowd, cost half a token and are shed like a new request. Unsafe requests were refused while half-open servers filled their subset. And shed moved by 0.1 with every answer: ten slow ones in 20 ms, as after a restart, shed 0.9; steps are smaller now where many answers come.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -26,6 +26,7 @@
 PART_MINIMUM = 2  # the same for one class at one server: a proxy sees a few of these a minute
 THRESHOLD = 0.5  # failure share that opens, beyond what all servers fail in common
 TRIALS = 3  # outcomes that decide in half-open
+RECENT = 100  # outcomes of all servers that tell what fails in common
 COOLDOWN_US = 1_000_000  # first cooldown; doubles with each reopening from half-open
 LONGEST_COOLDOWN_US = 8_000_000
 # The weight controller
@@ -46,6 +47,7 @@
 # Attempts
 OVERDUE = 4.0  # times the smoothed latency: an attempt that should have been answered
 RETRY_SHARE = 0.2  # further attempts a first try pays for
+CHEAP_RETRY = 0.5  # what one costs after an error or a reset: no sign of a crowd
 RETRY_BURST = 2.0  # most of them saved up: by hundreds of proxies together
 SAME_PATIENCE = 0.02  # times given to two tries that differ by less are the same
 AIM_SHARE = 0.98  # of the time to the aim that is waited for an answer that is worth nothing later
@@ -53,7 +55,8 @@
 TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
 CHEAP = 0.5  # of the mean worth for work: what is worth less yields to waiting, the rest only to lateness
 INFLATED = 2.75  # times the unhindered latency: answers of crowded servers, whatever the aim
-SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer
+SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer at the usual pace
+SHED_LEAST, SHED_PACE = 0.02, 0.6  # the same where many come: at the least, and for each second since the last
 SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
 SHED_LONGEST_US = 500_000  # one answer speaks for no longer: a single long one on a quiet day is chance
 SHED_MOST = 0.95  # what still comes through tells when to shed less
@@ -111,21 +114,20 @@
 
     def record(self, now_us: int, failed: bool, trial_of: int, common: float) -> State | None:
         """Enter an outcome; returns the new state if it opened or closed the breaker."""
+        limit = 1.0 - (1.0 - THRESHOLD) * (1.0 - common) ** 2  # squared: a few outcomes vary by chance
         if self.state is State.HALF_OPEN:
             if trial_of != self.episode:
                 return None  # in half-open only the trials' outcomes count
             self.trials_out -= 1
             self.trial_results.append(failed)
-            bad = sum(self.trial_results)
-            if bad / TRIALS >= THRESHOLD:  # the rest cannot save it
+            if sum(self.trial_results) >= TRIALS * limit:  # the rest cannot save it
                 return self.reopen(now_us)
             return self.close() if len(self.trial_results) == TRIALS else None
         if len(self.ring) == RING:
             self.failures -= self.ring[0]
         self.ring.append(failed)
         self.failures += failed
-        limit = len(self.ring) * (common + (1.0 - common) * THRESHOLD)
-        if failed and len(self.ring) >= self.minimum and self.failures >= limit:
+        if failed and len(self.ring) >= self.minimum and self.failures >= len(self.ring) * limit:
             return self.open(now_us)
         return None
 
@@ -251,6 +253,7 @@
         self.shed_at_us = 0  # when that last followed an answer
         self.shed = 0.0  # share of the work asked for that is refused, least worth first: what is cheap
         self.shed_dear = 0.0  # the same for all else
+        self.recent: deque[tuple[int, int, bool]] = deque(maxlen=RECENT)  # server, class, whether it failed
         self.logged_us = -LOG_GAP_US
 
     def handle(self, now_us: int, event: Event) -> list[Action]:
@@ -411,7 +414,9 @@
         bad = event.outcome is not Outcome.OK
         long = bad or waited > TOLERATED * (klass.aim_us - unhindered_us)
         # By the time since the last answer: with few of them a jam must be noticed as soon as with many.
-        step = max(SHED_STEP, SHED_RATE * min(self.now_us - self.shed_at_us, SHED_LONGEST_US) / 1e6)
+        # With many, a handful that waits for new connections must not shed nearly everything.
+        gap_s = min(self.now_us - self.shed_at_us, SHED_LONGEST_US) / 1e6
+        step = max(SHED_LEAST, min(SHED_STEP, SHED_PACE * gap_s), SHED_RATE * gap_s)
         self.shed_at_us = self.now_us
         self.shed = min(SHED_MOST, max(0.0, self.shed + (step if long else -step)))
         inflated = bad or waited > (INFLATED - 1.0) * unhindered_us * request.size
@@ -521,18 +526,13 @@
         late = [a for a in request.attempts if not a.ended]
         for attempt in late:
             attempt.overdue = True
-        if not late or request.streaming or not self.settings.second_copies or not self.may_repeat():
+        if not late or request.streaming or not self.settings.second_copies:
             return
+        if self.retry_tokens < 1 or self.shed > 0.0:
+            return  # guards against an overload that feeds itself
         if len(request.attempts) < self.settings.max_attempts and self.try_send(request):
             self.retry_tokens -= 1
 
-    def may_repeat(self) -> bool:
-        """Whether a retry or a second copy of what may have run can be afforded.
-
-        Guards against an overload that feeds itself: none while anything is shed.
-        """
-        return self.retry_tokens >= 1 and self.shed <= 0.0
-
     def on_attempt_ended(self, event: AttemptEnded) -> None:
         request = self.requests.get(event.request)
         if request is None or not 0 <= event.attempt < len(request.attempts):
@@ -557,17 +557,20 @@
                 self.served[request.klass] += 1
             self.finish(request)
         elif request.out == 0:
-            self.try_again(request)
+            self.try_again(request, event.outcome)
 
-    def try_again(self, request: Request) -> None:
+    def try_again(self, request: Request, outcome: Outcome) -> None:
         """After the last attempt out has failed: another one, a place in the queue, or the final answer."""
         klass = self.settings.classes[request.klass]
         ran = any(a.may_have_run for a in request.attempts)
         time_left = self.end_us(request) - self.now_us > self.unhindered[request.klass] * request.size
-        allowed = not ran or (klass.effect is not Effect.UNSAFE and self.may_repeat())
+        cost = 1.0 if outcome is Outcome.TIMEOUT else CHEAP_RETRY
+        shed = self.shed > 0.0 if outcome is Outcome.TIMEOUT else self.is_shed(request)
+        paid = self.retry_tokens >= cost and not shed
+        allowed = not ran or (klass.effect is not Effect.UNSAFE and paid)
         room = len(request.attempts) < self.settings.max_attempts
         if allowed and time_left and room and self.try_send(request):
-            self.retry_tokens -= ran
+            self.retry_tokens -= cost * ran
         else:
             self.answer_unserved(request)
 
@@ -611,13 +614,11 @@
     def pick(self, request: Request) -> Server | None:
         """Weighted random choice among the servers that may take this request now."""
         candidates = self.allowed_servers(request) if request.attempts else self.subset(request.klass)
-        repeatable = self.settings.classes[request.klass].effect is not Effect.UNSAFE
         weights: list[tuple[float, Server]] = []
         total = 0.0
         for server in candidates:
             weight = self.draw_weight(server, request)
-            # Trials risk their request, so one that could not be repeated goes to closed servers.
-            if weight > 0.0 and (repeatable or server.breaker.state is State.CLOSED):
+            if weight > 0.0:
                 weights.append((weight, server))
                 total += weight
         if not weights:
@@ -654,6 +655,8 @@
 
     def is_eligible(self, server: Server, klass: int) -> bool:
         ready = server.entry.status is ServerStatus.READY and server.breaker.lets_through(self.now_us)
+        if self.settings.classes[klass].effect is Effect.UNSAFE and server.breaker.state is not State.CLOSED:
+            return False  # trials risk their request: one that could not be repeated takes no such place
         return ready and server.part(klass).breaker.lets_through(self.now_us) and not self.is_silent(server)
 
     def is_silent(self, server: Server) -> bool:
@@ -672,6 +675,7 @@
             server.breaker.forgo_trial(attempt.trial_of)
             return
         failed = outcome is not Outcome.OK
+        self.recent.append((server.entry.server, request.klass, failed))
         ratio = 0.0 if failed else event.latency_us / max(1.0, self.expected_us(request))
         if not failed:
             self.learn_latency(request, event.latency_us)
@@ -717,12 +721,13 @@
             judged.weight = min(CEILING, judged.weight + STEP)
 
     def common_share(self, server: Server, klass: int | None) -> float:
-        """Failure share of the other servers' rings: what no single server is to blame for."""
-        servers = [s for s in self.servers.values() if s is not server]
-        others = [s.breaker if klass is None else s.part(klass).breaker for s in servers]
-        closed = [b for b in others if b.state is State.CLOSED]
-        entries = sum(len(b.ring) for b in closed)
-        return sum(b.failures for b in closed) / entries if entries else 0.0
+        """Failure share of the other servers of late: what no single server is to blame for.
+
+        Of all outcomes, not of rings: the breakers that this has tripped would be missing from it.
+        """
+        number = server.entry.server
+        others = [bad for of, k, bad in self.recent if of != number and klass in (None, k)]
+        return sum(others) / len(others) if others else 0.0
 
     # Cold servers
 
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -1,15 +1,21 @@
 """The breaker's cycle and the weight controller, by example."""
 
+import random
+
 from tests.helpers import Driver, sends, trip
 from caperdrift.interface import ListedServer, ListKind, Outcome
 from caperdrift.balance import (
     CEILING,
+    CHEAP_RETRY,
     COOLDOWN_US,
     CUT,
     FLOOR,
     MINIMUM,
+    RETRY_SHARE,
     RING,
+    SHED_STEP,
     STEP,
+    SUBSET,
     TRIALS,
     Breaker,
     State,
@@ -185,3 +191,49 @@
     driver.end(name, 0, Outcome.CONNECT_FAILED)
     assert breaker.state.value == "open"
     assert breaker.open_until_us == driver.now_us + 2 * COOLDOWN_US
+
+
+def play_failures(share: float, seed: int, dead: int | None = None) -> tuple[float, Driver]:
+    """Ten servers that all fail the same share of attempts at random; the mean share of open ones."""
+    driver, chance, opened, count = Driver(servers=10, seed=seed), random.Random(seed), 0, 3000
+    for number in range(count):
+        driver.now_us += 3_000
+        name, actions = driver.arrive(klass=number % 3, patience_us=1_000_000)
+        attempt = 0
+        while sent := sends(actions):
+            driver.now_us += 1_000
+            failed = chance.random() < share or sent[0].server == dead
+            outcome = Outcome.RESET if failed else Outcome.OK
+            actions = driver.end(name, sent[0].server, outcome, attempt=attempt)
+            attempt += 1
+        opened += sum(s.breaker.state is State.OPEN for s in driver.balancer.servers.values())
+    return opened / count / 10, driver
+
+
+def test_failures_in_common_open_next_to_nothing_and_a_dead_server_is_found_among_them() -> None:
+    """Breakers tripped one after the other on resets that hit every server alike, and crowded the rest."""
+    assert sum(play_failures(0.35, seed)[0] for seed in range(4)) / 4 < 0.12
+    _, driver = play_failures(0.25, seed=1, dead=3)
+    states = {number: server.breaker.state for number, server in driver.balancer.servers.items()}
+    assert states[3] is not State.CLOSED
+    assert sum(state is not State.CLOSED for state in states.values()) <= 2
+
+
+def test_an_unsafe_request_is_not_refused_while_closed_servers_lie_beyond_the_subset() -> None:
+    """Half-open servers, which it must not be a trial of, took up the places of those that may serve it."""
+    driver = Driver(servers=10)
+    for server in driver.balancer.ranked[:SUBSET]:
+        server.breaker.open(driver.now_us)
+    driver.now_us += COOLDOWN_US
+    _, actions = driver.arrive(klass=2, patience_us=1_000_000)
+    assert sends(actions)
+
+
+def test_after_a_reset_a_repeat_costs_less_and_goes_on_while_little_is_shed() -> None:
+    driver = Driver(servers=10)
+    driver.balancer.retry_tokens, driver.balancer.shed = CHEAP_RETRY - RETRY_SHARE, SHED_STEP
+    driver.balancer.random.seed(1)
+    name, actions = driver.arrive(klass=1, patience_us=800_000)
+    again = sends(driver.end(name, sends(actions)[0].server, Outcome.RESET))
+    assert again and driver.balancer.retry_tokens == 0
+    assert not sends(driver.end(name, again[0].server, Outcome.RESET, attempt=1))
