--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -56,7 +56,7 @@
 CHEAP = 0.5  # of the mean worth for work: what is worth less yields to waiting, the rest only to lateness
 INFLATED = 2.75  # times the unhindered latency: answers of crowded servers, whatever the aim
 SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer at the usual pace
-SHED_LEAST, SHED_PACE = 0.02, 0.6  # where many come: at the least, and for each second since the last
+SHED_LEAST, SHED_PACE = 0.02, 4.0  # where many come: at the least, and for each second since the last
 SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
 SHED_LONGEST_US = 500_000  # one answer speaks for no longer: a single long one on a quiet day is chance
 SHED_MOST = 0.95  # what still comes through tells when to shed less
@@ -634,7 +634,7 @@
 
     def favour_home(self, key: int, weights: list[tuple[float, Server]]) -> float:
         """Raise the weight of the key's home among the candidates; returns by how much."""
-        ranks = [rendezvous(key, server.entry.server, 1.0) for _, server in weights]
+        ranks = [rendezvous(key, s.entry.server, self.nearness(s.entry)) for _, s in weights]
         home = ranks.index(min(ranks))
         raised = weights[home][0] * (HOME_FAVOUR - 1.0)
         weights[home] = (weights[home][0] + raised, weights[home][1])
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -597,3 +597,20 @@
         driver.end(name, sends(actions)[0].server, latency_us=390_000)
         sheds.append(driver.balancer.shed)
     assert sheds[9] <= 0.3 and sheds[-1] >= 0.9
+
+
+def test_the_home_of_a_key_mostly_lies_in_the_own_zone() -> None:
+    """Half of the keys had theirs in another zone, and a third of the attempts crossed."""
+    prices = Prices(cross_zone=0.08)
+    driver = Driver(replace(SETTINGS, warm_keys=True, prices=prices), servers=0)
+    driver.list_servers(*(ListedServer(n, zone=n % 2) for n in range(10)))
+    driver.balancer.reach = 10.0
+    crossed = 0
+    for key in range(400):
+        name, actions = driver.arrive(key=key * 7919)
+        (sent,) = sends(actions)
+        crossed += sent.server % 2
+        driver.end(name, sent.server)
+        driver.now_us += 10_000
+        driver.balancer.reach = 10.0
+    assert crossed < 50
