Module: odd budgets are no late repeats; single failed connections; a quicker pick

Ruled out: silent hosts, breakers of parts, cold hosts (a trace at answer_unserved saw not one request for which no host was eligible).

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -50,6 +50,8 @@
 CHEAP_RETRY = 0.5  # what one costs after an error or a reset: no sign of a crowd
 RETRY_BURST = 2.0  # most of them saved up: by hundreds of proxies together
 SAME_PATIENCE = 0.02  # times given to two tries that differ by less are the same
+REGULAR = 0.5  # share of the tries that are given the usual time: with fewer, another time marks no repeat
+HOPELESS = 0.5  # of the unhindered latency: a try that is given less is not sent
 AIM_SHARE = 0.98  # of the time to the aim that is waited for an answer that is worth nothing later
 # Shedding
 TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
@@ -174,9 +176,12 @@
     entry: ListedServer
     weight: float  # of the controller
     rank: float  # rendezvous hash of this proxy and the server: its place in the subset, lowest first
+    near: float  # 1 in this proxy's zone, less in others the more a crossing costs
+    warm_at_us: int  # at the latest
     breaker: Breaker = field(default_factory=Breaker)
     parts: dict[int, Part] = field(default_factory=dict)  # by class
     out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
+    good_at_us: int = 0  # the last answer, if it was good
     spent_us: float = 0.0  # cold only: work sent and not yet paid off
     spent_at_us: int = 0
 
@@ -247,12 +252,14 @@
         self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
         self.mean_work = [0.0] * len(classes)  # of hints
         self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
+        self.regular = [1.0] * len(classes)  # share of the tries of late that are given that
         self.asked = [0.0] * len(classes)
         self.served = [0.0] * len(classes)
         self.tries = [t.share / (1.0 - TENANT_MEMORY) for t in settings.tenants]  # of late, by tenant
         self.shed_at_us = 0  # when that last followed an answer
         self.shed = 0.0  # share of the work asked for that is refused, least worth first: what is cheap
         self.shed_dear = 0.0  # the same for all else
+        self.silent_us = OVERDUE * max(self.smoothed)  # an attempt out for longer: its server is silent
         self.recent: deque[tuple[int, int, bool]] = deque(maxlen=RECENT)  # server, class, whether it failed
         self.logged_us = -LOG_GAP_US
 
@@ -360,14 +367,17 @@
         """How much of its time a request's earlier tries have used; a first try has used none.
 
         First tries of a class are all given the same time, found by majority vote; another time marks a
-        repeat. Guards against taking first tries, given less than the last, for late repeats.
+        repeat. Guards against taking first tries, given less than the last, for late repeats, and where
+        clients give each try a time of its own, against refusing most of them.
         """
         usual, votes = self.patience[event.klass]
         same = abs(event.patience_us - usual) <= SAME_PATIENCE * usual
         if not event.is_retry:
             usual, votes = (usual, votes + 1) if same else (usual, votes - 1)
             self.patience[event.klass] = (usual, votes) if votes >= 0 else (event.patience_us, 1)
-            same = same or votes < 0 or self.settings.marks_retry
+            share = self.regular[event.klass]
+            self.regular[event.klass] = share + SMOOTHING * (same - share)
+            same = same or votes < 0 or self.settings.marks_retry or share < REGULAR
         return 0 if same else max(0, self.settings.classes[event.klass].give_up_us - event.patience_us)
 
     def is_shed(self, request: Request) -> bool:
@@ -377,6 +387,9 @@
         """
         if self.settings.classes[request.klass].late_worth <= 0.0 and self.now_us >= request.aim_us:
             return True  # a repeat whose aim is over earns nothing
+        hopeless_us = HOPELESS * self.unhindered[request.klass] * request.size
+        if self.regular[request.klass] < REGULAR and request.deadline_us - self.now_us < hopeless_us:
+            return True
         if self.shed <= 0.0 and self.shed_dear <= 0.0:
             return False
         if self.random.random() < request.excess:
@@ -585,7 +598,8 @@
         for place, server in enumerate(self.ranked):
             if len(subset) >= self.reach:
                 break
-            if self.is_eligible(server, klass) and (place < self.reach or self.cold_share(server) >= 1.0):
+            may_rank_here = place < self.reach or self.now_us >= server.warm_at_us
+            if may_rank_here and self.is_eligible(server, klass):
                 subset.append(server)
         return subset
 
@@ -634,7 +648,7 @@
 
     def favour_home(self, key: int, weights: list[tuple[float, Server]]) -> float:
         """Raise the weight of the key's home among the candidates; returns by how much."""
-        ranks = [rendezvous(key, s.entry.server, self.nearness(s.entry)) for _, s in weights]
+        ranks = [rendezvous(key, s.entry.server, s.near) for _, s in weights]
         home = ranks.index(min(ranks))
         raised = weights[home][0] * (HOME_FAVOUR - 1.0)
         weights[home] = (weights[home][0] + raised, weights[home][1])
@@ -642,27 +656,31 @@
 
     def draw_weight(self, server: Server, request: Request) -> float:
         """A server's weight in the draw; 0 for one that is not eligible."""
-        if not self.cold_room(server, request):
-            return 0.0
-        free = 1.0 / (1.0 + len(server.out)) ** 2
-        share = self.cold_share(server)  # slow start
-        weight = server.weight * server.part(request.klass).weight
-        return server.entry.weight * weight * free * self.nearness(server.entry) * share
+        share = 1.0
+        if self.now_us < server.warm_at_us:
+            if not self.cold_room(server, request):
+                return 0.0
+            share = self.cold_share(server)  # slow start
+        weight = server.entry.weight * server.weight * server.part(request.klass).weight
+        return weight * server.near * share / (1 + len(server.out)) ** 2
 
     def nearness(self, entry: ListedServer) -> float:
-        """1 in this proxy's zone, less in others the more a crossing costs."""
         return 1.0 / (1.0 + AWAY * self.settings.prices.cross_zone * (entry.zone != self.settings.zone))
 
     def is_eligible(self, server: Server, klass: int) -> bool:
-        ready = server.entry.status is ServerStatus.READY and server.breaker.lets_through(self.now_us)
-        if self.settings.classes[klass].effect is Effect.UNSAFE and server.breaker.state is not State.CLOSED:
-            return False  # trials risk their request: one that could not be repeated takes no such place
-        return ready and server.part(klass).breaker.lets_through(self.now_us) and not self.is_silent(server)
-
-    def is_silent(self, server: Server) -> bool:
-        """True while the oldest attempt out is overdue: nothing more until it is answered or times out."""
-        sent_us = next(iter(server.out.values()), self.now_us)
-        return self.now_us - sent_us > OVERDUE * max(self.smoothed)
+        if server.entry.status is not ServerStatus.READY:
+            return False
+        if server.breaker.state is not State.CLOSED:
+            # Trials risk their request: one that could not be repeated takes no such place.
+            if self.settings.classes[klass].effect is Effect.UNSAFE:
+                return False
+            if not server.breaker.lets_through(self.now_us):
+                return False
+        part = server.parts.get(klass)
+        if part is not None and not part.breaker.lets_through(self.now_us):
+            return False
+        # Silent while the oldest attempt out is overdue: nothing more until it is answered or times out.
+        return not server.out or self.now_us - next(iter(server.out.values())) <= self.silent_us
 
     # Judging servers
 
@@ -674,6 +692,10 @@
         if outcome is Outcome.MOOT or (outcome is Outcome.CANCELLED and not attempt.overdue):
             server.breaker.forgo_trial(attempt.trial_of)
             return
+        soon = event.latency_us < SLOW * self.expected_us(request)
+        if outcome is Outcome.TIMEOUT and soon and self.regular[request.klass] < REGULAR:
+            server.breaker.forgo_trial(attempt.trial_of)
+            return  # it was given less than an answer takes
         failed = outcome is not Outcome.OK
         self.recent.append((server.entry.server, request.klass, failed))
         ratio = 0.0 if failed else event.latency_us / max(1.0, self.expected_us(request))
@@ -693,10 +715,12 @@
         self.adjust_weight(server, failed or ratio > SLOW)
         common = self.common_share(server, None) if failed else 0.0
         changed = server.breaker.record(self.now_us, failed, attempt.trial_of, common)
-        if outcome is Outcome.CONNECT_FAILED and server.breaker.state is not State.OPEN:
+        was_good = self.now_us - server.good_at_us <= COOLDOWN_US
+        if outcome is Outcome.CONNECT_FAILED and server.breaker.state is not State.OPEN and not was_good:
             # Guards against asking again and again at a dead process or a full connection table: one such
-            # outcome is verdict enough, of a trial too.
+            # outcome is verdict enough, of a trial too, but where good answers came until a moment ago.
             changed = server.breaker.reopen(self.now_us)
+        server.good_at_us = 0 if failed else self.now_us
         self.log_change(server, server.breaker, changed)
 
     def log_change(self, server: Server, breaker: Breaker, changed: State | None, scope: str = "") -> None:
@@ -708,6 +732,7 @@
     def learn_latency(self, request: Request, latency_us: int) -> None:
         index, latency = request.klass, latency_us / request.size
         self.smoothed[index] += SMOOTHING * (latency - self.smoothed[index])
+        self.silent_us = OVERDUE * max(self.smoothed)
         floor = self.unhindered[index]
         self.unhindered[index] += min(0.0, self.smoothed[index] - floor) + UNHINDERED_UP * floor
 
@@ -734,8 +759,6 @@
     def cold_room(self, server: Server, request: Request) -> bool:
         """Whether this proxy's part of a cold server's fall budget has room for one more request."""
         share = self.cold_share(server)
-        if share >= 1.0:
-            return True
         half_us = self.fall_budget_us() * share / 2
         elapsed_us = self.now_us - server.spent_at_us
         server.spent_us = max(0.0, server.spent_us - half_us * elapsed_us / self.settings.fall_us)
@@ -757,11 +780,11 @@
 
     def cold_share(self, server: Server) -> float:
         """Share of its capacity that a server surely has by now."""
-        age_us = self.now_us - server.entry.started_us
-        if server.entry.started_us == 0 or age_us >= self.settings.warm_after_us:
+        if self.now_us >= server.warm_at_us:
             return 1.0
+        age_us = max(0, self.now_us - server.entry.started_us)
         start = self.settings.start_capacity
-        return start + (1.0 - start) * max(0, age_us) / self.settings.warm_after_us
+        return start + (1.0 - start) * age_us / self.settings.warm_after_us
 
     # Membership
 
@@ -793,14 +816,16 @@
         elif known is None or known.entry.started_us != entry.started_us:
             weights = [s.weight for s in self.servers.values() if s is not known]
             mean = sum(weights) / len(weights) if weights else CEILING
-            rank = rendezvous(self.settings.proxy, entry.server, self.nearness(entry))
-            server = Server(entry, mean, rank, spent_at_us=self.now_us)
+            near = self.nearness(entry)
+            rank = rendezvous(self.settings.proxy, entry.server, near)
+            warm_at_us = entry.started_us + self.settings.warm_after_us if entry.started_us else 0
+            server = Server(entry, mean, rank, near, warm_at_us, spent_at_us=self.now_us)
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
             server.spent_us = self.random.random() * max(*self.smoothed, self.fall_budget_us() / 2)
             self.servers[entry.server] = server
         else:
-            known.entry = entry
+            known.entry, known.near = entry, self.nearness(entry)
 
     def log(self, line: str) -> None:
         """Say what was seen, at most so often: a wide failure must not bury its own beginning."""
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -28,7 +28,16 @@
     TimerFired,
     WatchList,
 )
-from caperdrift.balance import LOG_GAP_US, OVERDUE, SHED_STEP, SUBSET, State, rendezvous
+from caperdrift.balance import (
+    COOLDOWN_US,
+    LOG_GAP_US,
+    MINIMUM,
+    OVERDUE,
+    SHED_STEP,
+    SUBSET,
+    State,
+    rendezvous,
+)
 
 
 def test_an_unsafe_request_that_may_have_run_fails_at_once() -> None:
@@ -614,3 +623,45 @@
         driver.now_us += 10_000
         driver.balancer.reach = 10.0
     assert crossed < 50
+
+
+def test_where_every_try_has_a_time_of_its_own_a_short_one_marks_no_repeat() -> None:
+    """First tries with odd short times were refused unsent: they passed for repeats whose aim was over."""
+    driver = Driver(replace(SETTINGS, classes=(replace(SAFE, late_worth=0.0),)), servers=5)
+    driver.balancer.unhindered[0] = driver.balancer.smoothed[0] = 10_000.0
+    sent = 0
+    for number in range(200):
+        name, actions = driver.arrive(patience_us=20_000 + number * 7919 % 60_000)
+        sent += len(sends(actions))
+        if sends(actions):
+            driver.end(name, sends(actions)[0].server, latency_us=10_000)
+        driver.now_us += 20_000
+    assert sent > 150
+    # What is too short for any answer is not sent all the same.
+    assert not sends(driver.arrive(patience_us=2_000)[1])
+
+
+def test_a_time_out_sooner_than_an_answer_takes_is_no_verdict() -> None:
+    driver = Driver(servers=1)
+    for _ in range(MINIMUM * 3):
+        driver.balancer.regular[0] = 0.0  # clients give each try a time of its own
+        name, actions = driver.arrive()
+        driver.end(name, sends(actions)[0].server, Outcome.TIMEOUT, latency_us=30_000)
+    assert driver.balancer.servers[0].breaker.state is State.CLOSED and driver.balancer.shed == 0
+
+
+def test_one_failed_connection_opens_no_server_that_answered_well_a_moment_ago() -> None:
+    """Connections that break now and then opened most of the fleet, each for a second or more."""
+    for quiet_us, state in ((COOLDOWN_US // 2, State.CLOSED), (COOLDOWN_US * 2, State.OPEN)):
+        driver = Driver(servers=1)
+        name, actions = driver.arrive()
+        driver.end(name, sends(actions)[0].server)
+        driver.now_us += quiet_us
+        name, actions = driver.arrive()
+        driver.end(name, sends(actions)[0].server, Outcome.CONNECT_FAILED)
+        assert driver.balancer.servers[0].breaker.state is state
+    driver = Driver(servers=1)
+    for outcome in (Outcome.OK, Outcome.CONNECT_FAILED, Outcome.CONNECT_FAILED):
+        name, actions = driver.arrive()
+        driver.end(name, sends(actions)[0].server, outcome)
+    assert driver.balancer.servers[0].breaker.state is State.OPEN  # the second in a row
