Module: a time-out counts for its class at that server too

They count for the part now; they still speak against the whole host, so a hanging one is found as before.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -70,6 +70,7 @@
 
 LOG_GAP_US = 100_000  # between two log lines
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
+CLASS_TELLS = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT})  # of the class's part
 MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
 LIST_TOKEN = 0  # the timer that belongs to no request
 
@@ -687,7 +688,7 @@
     def judge(self, request: Request, attempt: Attempt, event: AttemptEnded) -> None:
         server, outcome = attempt.server, event.outcome
         part = server.part(request.klass)
-        if outcome not in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+        if outcome not in CLASS_TELLS:
             part.breaker.forgo_trial(attempt.part_trial_of)
         if outcome is Outcome.MOOT or (outcome is Outcome.CANCELLED and not attempt.overdue):
             server.breaker.forgo_trial(attempt.trial_of)
@@ -701,14 +702,14 @@
         ratio = 0.0 if failed else event.latency_us / max(1.0, self.expected_us(request))
         if not failed:
             self.learn_latency(request, event.latency_us)
-        if outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
+        if outcome in CLASS_TELLS:
             part.fine = not failed
             self.adjust_weight(part, failed)
             common = self.common_share(server, request.klass) if failed else 0.0
             changed = part.breaker.record(self.now_us, failed, attempt.part_trial_of, common)
             self.log_change(server, part.breaker, changed, f" for class {request.klass}")
             others = [p.fine for p in server.parts.values() if p is not part]
-            if failed and others and all(others):
+            if failed and others and all(others) and outcome is not Outcome.TIMEOUT:
                 server.breaker.forgo_trial(attempt.trial_of)
                 return  # it serves others: no verdict on the whole server
         self.adjust_shed(request, event)
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -3,7 +3,7 @@
 import random
 
 from tests.helpers import Driver, sends, trip
-from caperdrift.interface import ListedServer, ListKind, Outcome
+from caperdrift.interface import ListedServer, ListKind, Outcome, RequestGone
 from caperdrift.balance import (
     CEILING,
     CHEAP_RETRY,
@@ -237,3 +237,23 @@
     again = sends(driver.end(name, sends(actions)[0].server, Outcome.RESET))
     assert again and driver.balancer.retry_tokens == 0
     assert not sends(driver.end(name, again[0].server, Outcome.RESET, attempt=1))
+
+
+def test_a_server_that_never_answers_one_class_is_passed_over_for_that_class_alone() -> None:
+    """Its other answers kept its breaker closed, and such requests waited there until their aim was over."""
+    driver = Driver(servers=3)
+    late = 0
+    for number in range(2000):
+        driver.now_us += 3_000
+        klass = int(number % 4 == 1)
+        driver.balancer.shed = driver.balancer.shed_dear = 0.0
+        name, actions = driver.arrive(klass=klass, patience_us=400_000)
+        (sent,) = sends(actions)
+        if sent.server == 2 and klass == 1:
+            late += 1
+            driver.now_us += 150_000
+            driver.end(name, 2, Outcome.TIMEOUT, latency_us=150_000)
+            driver.handle(RequestGone(name))
+        else:
+            driver.end(name, sent.server)
+    assert late <= 12
