One client can no longer silence the gateway by using its ids again

Cause: Balancer.free forgot a request by its id. A timer of one that was answered long ago came when a client had used the id again, and removed the new request; the end of its attempt was then ignored, and the attempt counted as out at its server for good, which passed for silent.

Change: only the request itself is forgotten. The gateway gives each request a ticket of its own, never given again, and knows it by that towards the module; a client's id serves only to refuse one that is in use. A client that leaves is forgotten once the module has heard of it, so that what was sent meanwhile still gets its outcome. Second line: attempts 2 s past their time that nobody ended are written off once a second, with a line that says DEFECT. An entry of the list whose number is another host's is skipped across lists too.

Checked besides, by reading: timers (hold the request itself), lines of a key (the same), streams, cancels and ends (by id, now the ticket), attempts by number (of the request found, ended once), servers by number (an attempt holds its Server, a new start makes a new one), probes (heard by nobody), client connections (compare the call itself), pools (attempts and connections refer to one another).

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -72,7 +72,9 @@
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
 CLASS_TELLS = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT})  # of the class's part
 MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
-LIST_TOKEN = 0  # the timer that belongs to no request
+LIST_TOKEN, SWEEP_TOKEN = 0, 1  # the timers that belong to no request
+SWEEP_US = 1_000_000  # between looks for attempts that nobody ended, while any is out
+WRITE_OFF_US = 2_000_000  # past its time an attempt is held to be lost: a defect somewhere
 
 
 class State(Enum):
@@ -196,6 +198,7 @@
 class Attempt:
     server: Server
     sent_us: int
+    end_us: int  # when whoever carries it out stops waiting, at the latest
     trial_of: int
     part_trial_of: int
     ended: bool = False
@@ -245,7 +248,8 @@
         self.requests: dict[str, Request] = {}
         self.timers: dict[int, Request] = {}
         self.lines: dict[int, deque[Request]] = {}  # in order: requests of a key, its turn first
-        self.next_token = 1
+        self.next_token = SWEEP_TOKEN + 1
+        self.sweeping = False  # the timer of the sweep is set
         self.retry_tokens = RETRY_BURST
         self.list_calls_failed = 0
         classes = settings.classes
@@ -349,8 +353,12 @@
         return line[0] is not request
 
     def free(self, request: Request) -> None:
-        """Forget a request that is over; in order, the next of its key has its turn once the key rested."""
-        self.requests.pop(request.id, None)
+        """Forget a request that is over; in order, the next of its key has its turn once the key rested.
+
+        Only the request itself: a timer of one that was answered may come when its id was given again.
+        """
+        if self.requests.get(request.id) is request:
+            del self.requests[request.id]
         line = self.lines.get(request.key) if request.key is not None else None
         if line is None or request not in line:
             return
@@ -497,7 +505,9 @@
 
     def on_timer(self, token: int) -> None:
         request = self.timers.pop(token, None)
-        if token == LIST_TOKEN and not self.settings.list_is_pushed:
+        if token == SWEEP_TOKEN:
+            self.sweep()
+        elif token == LIST_TOKEN and not self.settings.list_is_pushed:
             self.actions.append(WatchList())
         elif request is not None and request.done and request.out == 0:
             self.free(request)
@@ -515,7 +525,9 @@
             return False
         klass = self.settings.classes[request.klass]
         part_trial_of = server.part(request.klass).breaker.take_trial()
-        attempt = Attempt(server, self.now_us, server.breaker.take_trial(), part_trial_of)
+        timeout_us = max(1, self.end_us(request) - self.now_us)
+        end_us = self.now_us + timeout_us
+        attempt = Attempt(server, self.now_us, end_us, server.breaker.take_trial(), part_trial_of)
         request.attempts.append(attempt)
         request.out += 1
         server.out[attempt] = self.now_us
@@ -523,7 +535,10 @@
         self.reach = max(SUBSET + self.out, SUBSET + (self.reach - SUBSET) * REACH_MEMORY)
         if self.cold_share(server) < 1.0:
             server.spent_us += self.cold_cost_us(request)
-        self.actions.append(Send(request.id, server.entry.server, max(1, self.end_us(request) - self.now_us)))
+        self.actions.append(Send(request.id, server.entry.server, timeout_us))
+        if not self.sweeping:
+            self.sweeping = True
+            self.actions.append(SetTimer(self.now_us + SWEEP_US, SWEEP_TOKEN))
         overdue_us = self.now_us + int(OVERDUE * self.expected_us(request))
         if klass.effect is not Effect.UNSAFE and overdue_us < request.deadline_us:
             self.set_timer(overdue_us, request)
@@ -554,14 +569,11 @@
         attempt = request.attempts[event.attempt]
         if attempt.ended:
             return
-        attempt.ended = True
         full_unproven = event.outcome is Outcome.FULL and self.settings.full_unproven
         attempt.may_have_run = event.outcome not in NEVER_RAN or full_unproven
         if event.outcome in MAY_STILL_RUN:
             request.rests_until_us = self.now_us + self.settings.key_rest_us
-        request.out -= 1
-        attempt.server.out.pop(attempt, None)
-        self.out -= 1
+        self.take_back(request, attempt)
         self.judge(request, attempt, event)
         if request.done:
             if request.out == 0:
@@ -573,6 +585,35 @@
         elif request.out == 0:
             self.try_again(request, event.outcome)
 
+    def take_back(self, request: Request, attempt: Attempt) -> None:
+        """An attempt is out no longer."""
+        attempt.ended = True
+        request.out -= 1
+        attempt.server.out.pop(attempt, None)
+        self.out -= 1
+
+    def sweep(self) -> None:
+        """Write off attempts whose time is long over and that nobody ended, and look again while any is out.
+
+        Guards against a server that counts as silent for ever, and a request that is owed an answer for ever:
+        a second line of defence. When it acts, whoever carries out attempts has lost one.
+        """
+        for request in [] if not self.out else list(self.requests.values()):
+            lost = [a for a in request.attempts if not a.ended and self.now_us > a.end_us + WRITE_OFF_US]
+            if not lost or request.streaming:
+                continue
+            for attempt in lost:
+                self.take_back(request, attempt)
+                attempt.server.breaker.forgo_trial(attempt.trial_of)
+                attempt.server.part(request.klass).breaker.forgo_trial(attempt.part_trial_of)
+            number = lost[0].server.entry.server
+            self.log(f"DEFECT: request {request.id}: nobody ended its attempt at {number}; written off")
+            if request.out == 0:
+                self.free(request) if request.done else self.answer_unserved(request)
+        self.sweeping = self.out > 0
+        if self.sweeping:
+            self.actions.append(SetTimer(self.now_us + SWEEP_US, SWEEP_TOKEN))
+
     def try_again(self, request: Request, outcome: Outcome) -> None:
         """After the last attempt out has failed: another one, a place in the queue, or the final answer."""
         klass = self.settings.classes[request.klass]
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/gateway.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import traceback
 from collections import deque
 from collections.abc import Callable
@@ -74,9 +75,13 @@
 
 @dataclass(slots=True, eq=False)
 class Held:
-    """A request that is owed an answer, or whose attempts are not all over."""
+    """A request that is owed an answer, or whose attempts are not all over.
+
+    The module knows it by its ticket, which is never given again; a client's id may be.
+    """
 
     call: Call
+    ticket: str
     deadline_us: int
     attempts: list[Attempt | None] = field(default_factory=list)  # None: never sent
     out: int = 0
@@ -94,7 +99,9 @@
         self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
-        self.held: dict[str, Held] = {}
+        self.held: dict[str, Held] = {}  # by ticket
+        self.by_id: dict[str, Held] = {}  # the same by the client's id
+        self.tickets = itertools.count(1)
         self.closed = False
         self.known = config.known
 
@@ -144,22 +151,28 @@
 
     def arrive(self, call: Call) -> bool:
         """Take a request; False if one with its id is held already."""
-        if call.id in self.held:
+        if call.id in self.by_id:
             return False
-        self.held[call.id] = Held(call, now_us() + call.patience_us)
+        ticket = str(next(self.tickets))
+        self.held[ticket] = self.by_id[call.id] = Held(call, ticket, now_us() + call.patience_us)
         event = RequestArrived(
-            call.id, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant
+            ticket, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant
         )
         self.post(lambda: event)
         return True
 
-    def leave(self, id_: str) -> None:
+    def leave(self, call: Call) -> None:
         """The client has gone; nothing is owed to it."""
-        held = self.held.get(id_)
-        if held is None or held.closed:
+        held = self.by_id.get(call.id)
+        if held is None or held.call is not call or held.closed:
             return
-        self.finish(id_, held)
-        self.post(lambda: RequestGone(id_))
+        held.closed = True
+        self.post(lambda: self.gone(held))
+
+    def gone(self, held: Held) -> Event:
+        """Forgotten only now: what the module sent for it before it hears of this still gets its outcome."""
+        self.finish(held)
+        return RequestGone(held.ticket)
 
     def on_list(self, kind: ListKind, entries: list[Entry]) -> None:
         self.post(lambda: self.take_list(kind, entries))
@@ -169,6 +182,7 @@
             named = {entry.listed.server for entry in entries}
             for id_ in [id_ for id_ in self.pools.hosts if id_ not in named]:
                 self.pools.remove(id_)
+        entries = [entry for entry in entries if not self.is_namesake(entry)]
         for entry in entries:
             listed = entry.listed
             if listed.status is ServerStatus.GONE:
@@ -178,6 +192,14 @@
                 self.pools.put(listed.server, entry.name, entry.address, ready, listed.started_us)
         return ServerList(kind, tuple(entry.listed for entry in entries))
 
+    def is_namesake(self, entry: Entry) -> bool:
+        """Whether the number of this entry is that of another host: numbers are hashes of names."""
+        host = self.pools.hosts.get(entry.listed.server)
+        if host is None or host.name == entry.name:
+            return False
+        log(f"{entry.name} is skipped: its number is that of {host.name}")
+        return True
+
     # Actions out
 
     def carry_out(self, action: Action) -> None:
@@ -212,23 +234,29 @@
             case _:
                 log(f"not carried out: {action!r}")
 
-    def owed(self, id_: str) -> Held | None:
+    def owed(self, ticket: str) -> Held | None:
         """The request, if it still waits for its final answer, which it has from now on."""
-        held = self.held.get(id_)
+        held = self.held.get(ticket)
         if held is None or held.closed:
             return None
-        self.finish(id_, held)
+        self.finish(held)
         return held
 
-    def finish(self, id_: str, held: Held) -> None:
+    def finish(self, held: Held) -> None:
         held.closed = True
         if held.out == 0:
-            del self.held[id_]
+            self.forget(held)
+
+    def forget(self, held: Held) -> None:
+        """It is over: nothing is owed and no attempt is out. Only it, never a later one of the same id."""
+        self.held.pop(held.ticket, None)
+        if self.by_id.get(held.call.id) is held:
+            del self.by_id[held.call.id]
 
     def send(self, action: Send) -> None:
-        id_ = action.request
-        held, host = self.held.get(id_), self.pools.hosts.get(action.server)
+        held, host = self.held.get(action.request), self.pools.hosts.get(action.server)
         if held is None:
+            log(f"DEFECT: the module sends a request that is not held: {action!r}")
             return
         number = len(held.attempts)
         left_us = held.deadline_us - now_us()
@@ -255,16 +283,15 @@
     def attempt_ended(
         self, held: Held, number: int, attempt: Attempt, outcome: Outcome, reply: Reply | None
     ) -> Event:
-        id_ = held.call.id
         held.out -= 1
         held.timed_out = outcome is Outcome.TIMEOUT
         if not held.closed and outcome is Outcome.OK and reply is not None:
-            self.finish(id_, held)
+            self.finish(held)
             held.call.client.on_served(held.call, reply)
         elif held.closed and held.out == 0:
-            self.held.pop(id_, None)
+            self.forget(held)
         return AttemptEnded(
-            id_, number, attempt.host.id, outcome, attempt.latency_us, held.closed, load_of(reply)
+            held.ticket, number, attempt.host.id, outcome, attempt.latency_us, held.closed, load_of(reply)
         )
 
     def cancel(self, action: Cancel) -> None:
--- a/cloverkeel/server.py
+++ b/cloverkeel/server.py
@@ -224,7 +224,7 @@
         self.reader.done.clear()
         call, self.call = self.call, None
         if call is not None:
-            self.server.gateway.leave(call.id)
+            self.server.gateway.leave(call)
 
     def enter(self, phase: Phase | None, since_s: float | None = None) -> None:
         """Note what this connection waits for, for the sweep."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,7 +22,7 @@
     SetTimer,
     Settings,
 )
-from caperdrift.balance import MINIMUM, Balancer, Breaker, State
+from caperdrift.balance import MINIMUM, SWEEP_TOKEN, Balancer, Breaker, State
 
 SAFE = RequestClass(aim_us=200_000, give_up_us=400_000, worth=3.0, late_worth=0.2, effect=Effect.SAFE)
 KEYED = RequestClass(
@@ -87,7 +87,8 @@
 
 
 def timers(actions: list[Action]) -> list[SetTimer]:
-    return [action for action in actions if isinstance(action, SetTimer)]
+    """Those of requests and of the list: the sweep's says nothing of either."""
+    return [action for action in actions if isinstance(action, SetTimer) and action.token != SWEEP_TOKEN]
 
 
 def trip(breaker: Breaker, now_us: int) -> None:
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -276,8 +276,8 @@
         data = request("transfer")
         client.send(data)
         await until(lambda: host.seen)
-        id_ = host.seen[0].message.headers["x-call-id"]
-        run.gateway.carry_out(Send(id_, 12345, 1_000_000))  # a host that nobody has listed
+        (ticket,) = run.gateway.held
+        run.gateway.carry_out(Send(ticket, 12345, 1_000_000))  # a host that nobody has listed
         assert [event.outcome for event in told] == [Outcome.MOOT]
         client.close()
         await asyncio.sleep(0)
