--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -20,7 +20,7 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signum, _end_early)
     # Imported late: a signal during the start must find its handler.
-    from cloverkeel.config import ConfigError, load
+    from cloverkeel.core.config import ConfigError, load
 
     try:
         config = load()
@@ -33,20 +33,19 @@
 
     import uvloop
 
-    from cloverkeel.gateway import Gateway
-    from cloverkeel.http1 import log
-    from cloverkeel.reload import Reloader
-    from cloverkeel.server import Server
+    from cloverkeel.assembly import assemble
+    from cloverkeel.core.log import log
+    from cloverkeel.core.reload import Reloader
 
     async def serve() -> int:
         loop = asyncio.get_running_loop()
         stop = asyncio.Event()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
-        gateway = Gateway(config)
-        reloader = Reloader(gateway.discovery)
+        program = assemble(config)
+        gateway, server = program.gateway, program.server
+        reloader = Reloader(program.discovery)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
-        server = Server(config, gateway)
         try:
             await server.start()
         except OSError as error:
@@ -62,7 +61,7 @@
                 await server.drain()
         except TimeoutError:
             log(f"ended with {len(gateway.held)} requests unanswered")
-        counts = gateway.pools.counts
+        counts = program.pools.counts
         log(f"ends; connections to hosts: {counts}")
         gateway.close()
         return 0
--- a/cloverkeel/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -12,7 +12,6 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from caperdrift.balance import Balancer
 from caperdrift.interface import (
@@ -29,7 +28,6 @@
     Probe,
     Probed,
     Refuse,
-    Reports,
     RequestArrived,
     RequestGone,
     Send,
@@ -40,37 +38,11 @@
     WatchList,
 )
 
-from cloverkeel.clock import now_us
-from cloverkeel.config import Config
-from cloverkeel.discovery import Discovery, Entry
-from cloverkeel.hosts import PROBE_TIMEOUT_US, Attempt, Pools, load_of
-from cloverkeel.http1 import Reply, log
-
-
-class Client(Protocol):
-    """Who waits for the final answer of a request; it gets just one of these."""
-
-    def on_served(self, call: Call, reply: Reply) -> None: ...
-
-    def on_refused(self, call: Call, retry_after_us: int) -> None: ...
-
-    def on_failed(self, call: Call, timed_out: bool) -> None: ...
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A client's request, as the gateway takes it."""
-
-    id: str
-    klass: int
-    patience_us: int
-    key: int | None
-    work_us: int | None
-    is_retry: bool
-    tenant: int
-    head: bytes  # request line and headers to pass on, all but the budget and the end
-    body: bytes
-    client: Client
+from cloverkeel.core.calls import Call
+from cloverkeel.core.clock import now_us
+from cloverkeel.core.config import Config
+from cloverkeel.core.log import log
+from cloverkeel.core.ports import Attempt, End, Entry, Membership, Upstream
 
 
 @dataclass(slots=True, eq=False)
@@ -90,13 +62,12 @@
 
 
 class Gateway:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, pools: Upstream, membership: Membership) -> None:
         self.loop = asyncio.get_running_loop()
         self.settings = config.settings
         self.balancer = Balancer(config.settings, config.seed)
-        self.pools = Pools(config.settings)
-        pushed = config.settings.list_is_pushed
-        self.discovery = Discovery(config.discovery, config.names, self.on_list, pushed)
+        self.pools, self.discovery = pools, membership
+        membership.tell(self.on_list)
         self.events: deque[Callable[[], Event | None]] = deque()
         self.handling = False
         self.held: dict[str, Held] = {}  # by ticket
@@ -112,7 +83,7 @@
     @property
     def can_serve(self) -> bool:
         """Whether there is any host to send to."""
-        return bool(self.pools.hosts)
+        return not self.pools.is_empty()
 
     def close(self) -> None:
         self.closed = True
@@ -179,9 +150,7 @@
 
     def take_list(self, kind: ListKind, entries: list[Entry]) -> Event:
         if kind is not ListKind.ERROR and kind is not ListKind.DELTA:
-            named = {entry.listed.server for entry in entries}
-            for id_ in [id_ for id_ in self.pools.hosts if id_ not in named]:
-                self.pools.remove(id_)
+            self.pools.keep_only({entry.listed.server for entry in entries})
         entries = [entry for entry in entries if not self.is_namesake(entry)]
         for entry in entries:
             listed = entry.listed
@@ -194,10 +163,10 @@
 
     def is_namesake(self, entry: Entry) -> bool:
         """Whether the number of this entry is that of another host: numbers are hashes of names."""
-        host = self.pools.hosts.get(entry.listed.server)
-        if host is None or host.name == entry.name:
+        name = self.pools.name_of(entry.listed.server)
+        if name is None or name == entry.name:
             return False
-        log(f"{entry.name} is skipped: its number is that of {host.name}")
+        log(f"{entry.name} is skipped: its number is that of {name}")
         return True
 
     # Actions out
@@ -254,44 +223,41 @@
             del self.by_id[held.call.id]
 
     def send(self, action: Send) -> None:
-        held, host = self.held.get(action.request), self.pools.hosts.get(action.server)
+        held, known = self.held.get(action.request), self.pools.knows(action.server)
         if held is None:
             log(f"DEFECT: the module sends a request that is not held: {action!r}")
             return
         number = len(held.attempts)
         left_us = held.deadline_us - now_us()
         wait_us = min(action.timeout_us, left_us) if action.timeout_us else left_us
-        if host is None or held.closed or wait_us <= 0 or number >= self.settings.max_attempts:
+        if not known or held.closed or wait_us <= 0 or number >= self.settings.max_attempts:
             held.attempts.append(None)
             self.post(lambda: self.moot(action, number))
             return
 
-        def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
-            self.post(lambda: self.attempt_ended(held, number, attempt, outcome, reply))
+        def on_end(end: End) -> None:
+            self.post(lambda: self.attempt_ended(held, number, action.server, end))
 
         payload = b"%sX-Budget-Ms: %d\r\n\r\n%s" % (held.call.head, max(1, wait_us // 1000), held.call.body)
-        attempt = Attempt(host, payload, on_end)
-        held.attempts.append(attempt)
+        held.attempts.append(None)
         held.out += 1
-        self.pools.send(attempt, wait_us)
+        held.attempts[number] = self.pools.begin(action.server, payload, wait_us, on_end)
 
     def moot(self, action: Send, number: int) -> Event:
         held = self.held.get(action.request)
         finished = held is None or held.closed
         return AttemptEnded(action.request, number, action.server, Outcome.MOOT, 0, finished)
 
-    def attempt_ended(
-        self, held: Held, number: int, attempt: Attempt, outcome: Outcome, reply: Reply | None
-    ) -> Event:
+    def attempt_ended(self, held: Held, number: int, server: int, end: End) -> Event:
         held.out -= 1
-        held.timed_out = outcome is Outcome.TIMEOUT
-        if not held.closed and outcome is Outcome.OK and reply is not None:
+        held.timed_out = end.outcome is Outcome.TIMEOUT
+        if not held.closed and end.outcome is Outcome.OK and end.reply is not None:
             self.finish(held)
-            held.call.client.on_served(held.call, reply)
+            held.call.client.on_served(held.call, end.reply)
         elif held.closed and held.out == 0:
             self.forget(held)
         return AttemptEnded(
-            held.ticket, number, attempt.host.id, outcome, attempt.latency_us, held.closed, load_of(reply)
+            held.ticket, number, server, end.outcome, end.latency_us, held.closed, end.load
         )
 
     def cancel(self, action: Cancel) -> None:
@@ -301,15 +267,8 @@
             if attempt is not None:
                 self.pools.cancel(attempt)
 
-    def probe(self, id_: int) -> None:
-        host = self.pools.hosts.get(id_)
-        if host is None:
-            return
-
-        def on_end(attempt: Attempt, outcome: Outcome, reply: Reply | None) -> None:
-            self.post(lambda: Probed(id_, outcome, attempt.latency_us, load_of(reply)))
-
-        path = b"/health/live" if self.settings.reports is Reports.NONE else b"/stats"
-        address = f"{host.address[0]}:{host.address[1]}".encode()
-        payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
-        self.pools.send(Attempt(host, payload, on_end), PROBE_TIMEOUT_US)
+    def probe(self, server: int) -> None:
+        if self.pools.knows(server):
+            self.pools.probe(
+                server, lambda end: self.post(lambda: Probed(server, end.outcome, end.latency_us, end.load))
+            )
--- /dev/null
+++ b/cloverkeel/core/messages.py
@@ -0,0 +1,40 @@
+"""Messages as every protocol has them: limits, headers that end at a hop, whole answers. No bytes, no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+Header = tuple[bytes, bytes]
+
+BODY_LIMIT = 64 * 1024
+HEAD_LIMIT = 16 * 1024
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer"
+    b" transfer-encoding upgrade expect content-length".split()
+)
+
+
+def end_to_end(headers: Iterable[Header], without: frozenset[bytes] = frozenset()) -> list[Header]:
+    """Headers that may pass on: none that is meant for this connection only, here or by `Connection`."""
+    kept = [(name, value) for name, value in headers if name.lower() not in HOP_BY_HOP]
+    named = {
+        part.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for part in value.split(b",")
+    } | without
+    return [(name, value) for name, value in kept if name.lower() not in named]
+
+
+def header(headers: Iterable[Header], wanted: bytes) -> bytes | None:
+    """The first header of that name (lower case)."""
+    return next((value for name, value in headers if name.lower() == wanted), None)
+
+
+class Reply:
+    """One whole answer."""
+
+    __slots__ = ("body", "headers", "keep_alive", "status")
+
+    def __init__(self, status: int, headers: list[Header], body: bytes, keep_alive: bool) -> None:
+        self.status, self.headers, self.body, self.keep_alive = status, headers, body, keep_alive
--- /dev/null
+++ b/cloverkeel/core/ports.py
@@ -0,0 +1,90 @@
+"""What the core asks of the rooms round it: who carries attempts, and who tells of hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from caperdrift.interface import ListedServer, ListKind, LoadReport, Outcome
+
+from cloverkeel.core.config import Address
+from cloverkeel.core.messages import Reply
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One host of a list, for the module and for who carries attempts."""
+
+    name: str
+    address: Address
+    listed: ListedServer
+
+
+@dataclass(slots=True, eq=False)
+class End:
+    """How an attempt ended."""
+
+    outcome: Outcome
+    latency_us: int
+    reply: Reply | None = None
+    load: LoadReport | None = None
+
+
+class Attempt(Protocol):
+    """One request on its way to one host."""
+
+
+OnList = Callable[[ListKind, list[Entry]], None]
+OnEnd = Callable[[End], None]
+
+
+class Upstream(Protocol):
+    """Carries attempts to hosts. Every attempt that is begun ends once, by its `on_end`."""
+
+    def knows(self, server: int) -> bool: ...
+
+    def name_of(self, server: int) -> str | None: ...
+
+    def is_empty(self) -> bool: ...
+
+    def put(self, id_: int, name: str, address: Address, ready: bool, started_us: int = 0) -> None: ...
+
+    def remove(self, id_: int) -> None: ...
+
+    def keep_only(self, named: set[int]) -> None: ...
+
+    def close_idle(self, id_: int) -> None: ...
+
+    def begin(self, server: int, payload: bytes, timeout_us: int, on_end: OnEnd) -> Attempt:
+        """Begin an attempt at a server that is known; its end may come before this returns."""
+
+    def probe(self, server: int, on_end: OnEnd) -> None: ...
+
+    def cancel(self, attempt: Any) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Membership(Protocol):
+    """Tells who is there."""
+
+    def tell(self, on_list: OnList) -> None:
+        """Whom to tell, from now on."""
+
+    def take_known(self, raw: dict[str, Any]) -> None: ...
+
+    def watch(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+class Descriptors(Protocol):
+    """What a front shares descriptors with."""
+
+    open: int  # connections to hosts
+    room: Callable[[], None]  # called before a descriptor is taken
+
+    def give_up_idle(self) -> bool: ...
--- a/cloverkeel/reload.py
+++ b/cloverkeel/core/reload.py
@@ -3,16 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
 
-from cloverkeel.config import Config, ConfigError, load
-from cloverkeel.discovery import Discovery
-from cloverkeel.http1 import log
+from cloverkeel.core.config import Address, Config, ConfigError, load
+from cloverkeel.core.log import log
+
+
+class Movable(Protocol):
+    """A source of hosts that can be asked at another address."""
+
+    address: Address
+
+    def move(self, address: Address) -> None: ...
 
 
 class Reloader:
     """Reads LB_CONFIG once for each time that is asked, or once for several that come together."""
 
-    def __init__(self, discovery: Discovery) -> None:
+    def __init__(self, discovery: Movable) -> None:
         self.discovery = discovery
         self.asked = False
         self.reading: asyncio.Task[None] | None = None
--- /dev/null
+++ b/cloverkeel/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Clients' protocols, one folder each. They know the core and nothing of hosts."""
--- /dev/null
+++ b/cloverkeel/fronts/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 for clients."""
--- a/cloverkeel/requests.py
+++ b/cloverkeel/fronts/http1/requests.py
@@ -9,9 +9,9 @@
 
 from caperdrift.interface import Effect
 
-from cloverkeel.config import Config, stable_id
-from cloverkeel.gateway import Call, Client
-from cloverkeel.http1 import BODY_LIMIT, HEAD_LIMIT, Header, end_to_end, header
+from cloverkeel.core.calls import Call, Client
+from cloverkeel.core.config import Config, stable_id
+from cloverkeel.core.messages import BODY_LIMIT, HEAD_LIMIT, Header, end_to_end, header
 
 ID_LIMIT = 128
 SLICE = 4096  # bytes parsed before it is looked at how many requests they held
--- a/cloverkeel/server.py
+++ b/cloverkeel/fronts/http1/server.py
@@ -7,10 +7,13 @@
 import socket
 from typing import cast
 
-from cloverkeel.config import Config
-from cloverkeel.gateway import Call, Gateway
-from cloverkeel.http1 import Header, Reply, end_to_end, log
-from cloverkeel.requests import Request, RequestError, RequestReader, read_call
+from cloverkeel.core.calls import Call
+from cloverkeel.core.config import Config
+from cloverkeel.core.gateway import Gateway
+from cloverkeel.core.log import log
+from cloverkeel.core.messages import Header, Reply, end_to_end
+from cloverkeel.core.ports import Descriptors
+from cloverkeel.fronts.http1.requests import Request, RequestError, RequestReader, read_call
 
 READY_PATH = b"/health/ready"
 ACCEPT_ON_S = 1.0  # after SIGTERM: new connections go on coming for 0.4 s
@@ -44,8 +47,8 @@
 class Server:
     """All connections of clients."""
 
-    def __init__(self, config: Config, gateway: Gateway) -> None:
-        self.config, self.gateway = config, gateway
+    def __init__(self, config: Config, gateway: Gateway, hosts: Descriptors) -> None:
+        self.config, self.gateway, self.hosts = config, gateway, hosts
         self.connections: set[ClientConnection] = set()
         self.silent: Phase = {}
         self.reading: Phase = {}
@@ -56,7 +59,7 @@
         self.draining = False
         self.listener: socket.socket | None = None
         self.sweeper: asyncio.TimerHandle | None = None
-        gateway.pools.room = self.make_room
+        hosts.room = self.make_room
 
     async def start(self) -> None:
         host, port = self.config.listen
@@ -113,7 +116,7 @@
         return self.clients < self.most and not self.is_full()
 
     def is_full(self) -> bool:
-        return self.clients + self.gateway.pools.open + RESERVE >= self.config.sockets
+        return self.clients + self.hosts.open + RESERVE >= self.config.sockets
 
     def make_room(self) -> None:
         """Before a connection to a host is opened: clients that ask nothing yield first.
@@ -121,7 +124,7 @@
         Guards against a handshake for each request, as silent clients crowd out kept connections to hosts.
         """
         if self.is_full() and not self.give_up_client(0.0):
-            self.gateway.pools.give_up_idle()
+            self.hosts.give_up_idle()
 
     def give_up_client(self, age_s: float) -> bool:
         """Close a connection on which nothing is asked: the oldest that never spoke, or that was kept."""
--- a/cloverkeel/discovery.py
+++ b/cloverkeel/membership/registry.py
@@ -5,13 +5,16 @@
 import asyncio
 import json
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any, cast
 
 from caperdrift.interface import ListedServer, ListKind, ServerStatus
 
-from cloverkeel.config import Address, Names, parse_address, stable_id
-from cloverkeel.http1 import Reply, ReplyError, ReplyReader, log
+from cloverkeel.core.config import Address, Names, parse_address, stable_id
+from cloverkeel.core.log import log
+from cloverkeel.core.messages import Reply
+from cloverkeel.core.ports import Entry, OnList
+from cloverkeel.protocols.http1 import ReplyError, ReplyReader
 
 LIST = b"/registry/instances"
 HOLD_MS = 20_000  # how long a watch may wait for news
@@ -23,22 +26,10 @@
     "DRAINING": ServerStatus.DRAINING,
     "DELETED": ServerStatus.GONE,
 }
-OnList = Callable[[ListKind, "list[Entry]"], None]
-
-
 class CallError(Exception):
     """A call to discovery has failed."""
 
 
-class Entry:
-    """One host of a list, for the module and for the pools."""
-
-    __slots__ = ("address", "listed", "name")
-
-    def __init__(self, name: str, address: Address, listed: ListedServer) -> None:
-        self.name, self.address, self.listed = name, address, listed
-
-
 def parse_entry(raw: dict[str, Any], names: Names) -> Entry:
     name = raw["name"]
     if not isinstance(name, str) or not name:
@@ -135,8 +126,9 @@
 class Discovery:
     """Asks for the list when told to, and tells `on_list` what came; failures too."""
 
-    def __init__(self, address: Address, names: Names, on_list: OnList, pushed: bool) -> None:
-        self.names, self.on_list = names, on_list
+    def __init__(self, address: Address, names: Names, pushed: bool) -> None:
+        self.names = names
+        self.on_list: OnList = lambda kind, entries: None  # the core's, once it is there
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
         self.failures = 0
         self.closed = False
@@ -145,6 +137,9 @@
         self.fetching: asyncio.Task[None] | None = None
         self.address = address
 
+    def tell(self, on_list: OnList) -> None:
+        self.on_list = on_list
+
     def take_known(self, raw: dict[str, Any]) -> None:
         """Begin with the list that this gateway had before it was restarted."""
         entries: list[Entry] = []
--- /dev/null
+++ b/cloverkeel/protocols/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes to messages, for whoever speaks to servers. No I/O."""
--- a/cloverkeel/http1.py
+++ b/cloverkeel/protocols/http1.py
@@ -1,58 +1,18 @@
-"""HTTP/1.1 as both sides need it: limits, headers that end at a hop, and whole answers from bytes."""
+"""Whole HTTP/1.1 answers from bytes. No I/O: hosts' and the registry's answers are read by it alike."""
 
 from __future__ import annotations
 
-import sys
-from collections.abc import Iterable
-
 import httptools
 
-Header = tuple[bytes, bytes]
+from cloverkeel.core.messages import BODY_LIMIT, HEAD_LIMIT, Header, Reply, header
 
-BODY_LIMIT = 64 * 1024
-HEAD_LIMIT = 16 * 1024
 INTERIM_LIMIT = 8  # answers that may come ahead of the answer proper
-HOP_BY_HOP = frozenset(
-    b"connection keep-alive proxy-authenticate proxy-authorization proxy-connection te trailer"
-    b" transfer-encoding upgrade expect content-length".split()
-)
-
-
-def end_to_end(headers: Iterable[Header], without: frozenset[bytes] = frozenset()) -> list[Header]:
-    """Headers that may pass on: none that is meant for this connection only, here or by `Connection`."""
-    kept = [(name, value) for name, value in headers if name.lower() not in HOP_BY_HOP]
-    named = {
-        part.strip().lower()
-        for name, value in headers
-        if name.lower() == b"connection"
-        for part in value.split(b",")
-    } | without
-    return [(name, value) for name, value in kept if name.lower() not in named]
-
-
-def header(headers: Iterable[Header], wanted: bytes) -> bytes | None:
-    """The first header of that name (lower case)."""
-    return next((value for name, value in headers if name.lower() == wanted), None)
-
-
-def log(line: str) -> None:
-    """One line of the program's log; nothing is logged for each request."""
-    print(f"cloverkeel: {line}", file=sys.stderr, flush=True)
 
 
 class ReplyError(ValueError):
     """What came back is no answer that can be used."""
 
 
-class Reply:
-    """One whole answer."""
-
-    __slots__ = ("body", "headers", "keep_alive", "status")
-
-    def __init__(self, status: int, headers: list[Header], body: bytes, keep_alive: bool) -> None:
-        self.status, self.headers, self.body, self.keep_alive = status, headers, body, keep_alive
-
-
 class ReplyReader:
     """Turns the bytes of one connection into whole answers, one at a time."""
 
--- /dev/null
+++ b/cloverkeel/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to hosts, attempts and their outcomes. Knows no front."""
--- a/cloverkeel/hosts.py
+++ b/cloverkeel/upstream/pools.py
@@ -8,12 +8,14 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from caperdrift.interface import LoadReport, Outcome, Settings
+from caperdrift.interface import LoadReport, Outcome, Reports, Settings
 from caperdrift.wire import parse_load
 
-from cloverkeel.clock import now_us
-from cloverkeel.config import Address
-from cloverkeel.http1 import Reply, ReplyError, ReplyReader, header
+from cloverkeel.core.clock import now_us
+from cloverkeel.core.config import Address
+from cloverkeel.core.messages import Reply, header
+from cloverkeel.core.ports import End, OnEnd
+from cloverkeel.protocols.http1 import ReplyError, ReplyReader
 
 IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
 SPARE_IDLE_US = 5_000_000  # the same for what only a burst has needed
@@ -41,7 +43,7 @@
 
     host: Host
     payload: bytes
-    on_end: Callable[[Attempt, Outcome, Reply | None], None]
+    on_end: OnEnd
     sent_us: int = 0
     latency_us: int = 0
     connection: HostConnection | None = None
@@ -180,8 +182,37 @@
         while host is not None and host.idle:
             host.idle.pop().close()
 
+    def knows(self, server: int) -> bool:
+        return server in self.hosts
+
+    def name_of(self, server: int) -> str | None:
+        host = self.hosts.get(server)
+        return host.name if host is not None else None
+
+    def is_empty(self) -> bool:
+        return not self.hosts
+
+    def keep_only(self, named: set[int]) -> None:
+        """Forget every host that a whole list does not name."""
+        for id_ in [id_ for id_ in self.hosts if id_ not in named]:
+            self.remove(id_)
+
     # Attempts
 
+    def begin(self, server: int, payload: bytes, timeout_us: int, on_end: OnEnd) -> Attempt:
+        """Begin an attempt at a host that is known."""
+        attempt = Attempt(self.hosts[server], payload, on_end)
+        self.send(attempt, timeout_us)
+        return attempt
+
+    def probe(self, server: int, on_end: OnEnd) -> None:
+        """Ask a host how it is; with its load where the deployment has reports."""
+        host = self.hosts[server]
+        path = b"/health/live" if self.settings.reports is Reports.NONE else b"/stats"
+        address = f"{host.address[0]}:{host.address[1]}".encode()
+        payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
+        self.send(Attempt(host, payload, on_end), PROBE_TIMEOUT_US)
+
     def send(self, attempt: Attempt, timeout_us: int) -> None:
         """Begin an attempt on a kept connection, or on a new one where none is free."""
         attempt.sent_us = now_us()
@@ -257,7 +288,7 @@
         if outcome is Outcome.CONNECT_FAILED:
             self.counts.failed += 1
         attempt.connection = attempt.opening = None
-        attempt.on_end(attempt, outcome, reply)
+        attempt.on_end(End(outcome, attempt.latency_us, reply, load_of(reply)))
 
     def on_timeout(self, attempt: Attempt) -> None:
         # What was never written cannot have run, also when the time ended while connecting.
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,4 @@
+"""Outside systems to play against: boxes, registry, network, clients, gateways by the dozen, and an auditor.
+
+Nothing in cloverkeel/ imports this package but the command `try`.
+"""
--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,259 @@
+"""What the stand-ins saw with their own eyes: the one account that the auditor reads.
+
+Every entry is written by the party that saw it happen (a box, a client, the registry, the network, or whoever
+signals the gateways); nothing that a gateway says of itself is in here. Times are Unix microseconds that only
+move forward, from one clock for all parties of a play, which is why they all live in one process.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any, TypeVar
+
+_OFFSET_NS = time.time_ns() - time.monotonic_ns()
+
+
+def now_us() -> int:
+    """Unix time in microseconds that only moves forward."""
+    return (_OFFSET_NS + time.monotonic_ns()) // 1000
+
+
+@dataclass(slots=True, eq=False)
+class Asked:
+    """A client has written the last byte of a request to a connection that a gateway's machine accepted."""
+
+    at_us: int
+    id: str
+    klass: str
+    gateway: str
+    budget_us: int
+    key: str = ""  # Idempotency-Key
+    tenant: str = ""
+    first: str = ""  # id of the first try of what the client wants
+    again: bool = False  # the same request once more: its first connection was closed before it was read
+
+
+@dataclass(slots=True, eq=False)
+class Answered:
+    """The last byte of an answer has come."""
+
+    at_us: int
+    id: str
+    status: int
+    names: str = ""  # the request that the body says it was made for
+    retry_after_us: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Unanswered:
+    """A client's connection ended, or it stopped waiting, with no whole answer."""
+
+    at_us: int
+    id: str
+    how: str  # "closed", "reset", "cut" (an answer had begun), "none" (waited past the end)
+
+
+@dataclass(slots=True, eq=False)
+class Left:
+    """A client went away of its own will; nothing is owed to it any more."""
+
+    at_us: int
+    id: str
+
+
+@dataclass(slots=True, eq=False)
+class Extra:
+    """Bytes that came on a connection of a client where none were owed."""
+
+    at_us: int
+    id: str  # of the last request there
+    data: str
+
+
+@dataclass(slots=True, eq=False)
+class Rude:
+    """What a client that breaks the protocol got."""
+
+    at_us: int  # when it had connected
+    what: str
+    gateway: str
+    ended_us: int = 0  # an answer or a close; 0: neither
+    status: int = 0  # 0: a close
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """A request at a box, from its first byte on. It is filled in as it goes on.
+
+    `how`: "coming" (not whole), "waiting", "running", "ok", "duplicate" (dropped, answered from memory),
+    "rejected" (turned away before it began, and told so), "error", "spoilt", "cancelled", "crashed".
+    """
+
+    at_us: int  # its first byte was sent
+    box: str
+    incarnation: int
+    group: int
+    id: str = ""
+    klass: str = ""
+    key: str = ""
+    gateway: str = ""
+    whole_us: int = 0  # its last byte has come; 0: never
+    began_us: int = 0  # work began; 0: never
+    over_us: int = 0  # the last byte of the answer was written, or it ended otherwise
+    how: str = "coming"
+    work_us: int = 0  # on a standard core, before what a remembered key saves
+
+    @property
+    def may_have_run(self) -> bool:
+        """What a gateway has to take for granted: it went out whole and was not turned away."""
+        return self.whole_us > 0 and self.how != "rejected"
+
+
+@dataclass(slots=True, eq=False)
+class BoxUp:
+    at_us: int
+    box: str
+    incarnation: int
+    cores: float
+    cold_share: float  # of its capacity at the start; 1: warm
+    warm_us: int  # after the start, at the latest
+
+
+@dataclass(slots=True, eq=False)
+class BoxDown:
+    at_us: int
+    box: str
+    incarnation: int
+    how: str  # "crash", "silent", "hang", "drained", "fell"
+
+
+@dataclass(slots=True, eq=False)
+class BoxLoad:
+    """A look at a box, a few times a second."""
+
+    at_us: int
+    box: str
+    state: str
+    running: int
+    waiting: int
+    connections: int
+    capacity: float  # share
+
+
+@dataclass(slots=True, eq=False)
+class Told:
+    """The registry has written an entry to a gateway; in a whole list, also those missing from it."""
+
+    at_us: int
+    gateway: str
+    box: str
+    status: str  # "SERVING", "DRAINING" or "DELETED"
+
+
+@dataclass(slots=True, eq=False)
+class Changed:
+    """The registry could have told this from now on."""
+
+    at_us: int
+    box: str
+    status: str
+
+
+@dataclass(slots=True, eq=False)
+class Listening:
+    """A gateway's call to the registry, or a time in which none could reach it."""
+
+    at_us: int
+    gateway: str  # "": all
+    until_us: int = 0  # 0: still
+
+
+@dataclass(slots=True, eq=False)
+class Process:
+    """What happened to a gateway's process."""
+
+    at_us: int
+    gateway: str
+    what: str  # "start", "ready", "TERM", "KILL", "HUP", "STOP", "CONT", "exit"
+    code: int = 0  # of an exit
+    asked: bool = True  # for an exit: it had been signalled to
+
+
+@dataclass(slots=True, eq=False)
+class Usage:
+    """What a gateway's process holds."""
+
+    at_us: int
+    gateway: str
+    rss_kib: int
+    descriptors: int
+    cpu_us: int
+
+
+@dataclass(slots=True, eq=False)
+class Lag:
+    """The stand-ins themselves stood still: what they saw in this time, came late by this much at most."""
+
+    at_us: int  # the end of it
+    lag_us: int
+
+
+@dataclass(slots=True, eq=False)
+class Trouble:
+    """What the scenario did, for the time lines and plots."""
+
+    at_us: int
+    text: str
+
+
+Entry = (
+    Asked | Answered | Unanswered | Left | Extra | Rude | Run | BoxUp | BoxDown | BoxLoad | Told | Changed
+    | Listening | Process | Usage | Lag | Trouble
+)  # fmt: skip
+KINDS: dict[str, type[Any]] = {
+    kind.__name__: kind
+    for kind in (
+        Asked, Answered, Unanswered, Left, Extra, Rude, Run, BoxUp, BoxDown, BoxLoad, Told, Changed,
+        Listening, Process, Usage, Lag, Trouble,
+    )
+}  # fmt: skip
+T = TypeVar("T")
+LIMIT = 5_000_000  # entries: a play that writes more is not kept whole, and says so
+
+
+@dataclass
+class Ledger:
+    entries: list[Entry] = field(default_factory=list)
+    dropped: int = 0  # entries beyond LIMIT; the auditor refuses an account that is not whole
+
+    def add(self, entry: Entry) -> None:
+        if len(self.entries) >= LIMIT:
+            self.dropped += 1
+            return
+        self.entries.append(entry)
+
+    def of(self, kind: type[T]) -> Iterator[T]:
+        """Entries of one kind, in the order in which they were written."""
+        return (entry for entry in self.entries if isinstance(entry, kind))
+
+    def dump(self, path: Path) -> None:
+        """One JSON object a line, so that a play can be audited again."""
+        with path.open("w") as file:
+            for entry in self.entries:
+                file.write(json.dumps({"kind": type(entry).__name__} | asdict(entry)) + "\n")
+
+    @classmethod
+    def load(cls, path: Path) -> Ledger:
+        """ValueError names the line that is no entry."""
+        ledger = cls()
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            try:
+                raw = json.loads(line)
+                ledger.add(KINDS[raw.pop("kind")](**raw))
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
+                raise ValueError(f"{path}, line {number}: not an entry of a ledger ({error!r})") from None
+        return ledger
--- a/test.sh
+++ b/test.sh
@@ -11,4 +11,5 @@
 fi
 $python -m ruff check .
 $python -m mypy
+.venv-dev/bin/lint-imports
 $python -m pytest
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,9 +12,12 @@
 
 import uvloop
 
-from cloverkeel.config import parse, stable_id
-from cloverkeel.gateway import Gateway
-from cloverkeel.server import Server
+from cloverkeel.core.config import parse, stable_id
+from cloverkeel.assembly import assemble
+from cloverkeel.core.gateway import Gateway
+from cloverkeel.fronts.http1.server import Server
+from cloverkeel.membership.registry import Discovery
+from cloverkeel.upstream.pools import Pools
 
 PATIENCE_S = 30.0  # for anything that should happen: how long a broken test takes, never how long a good one
 
@@ -196,6 +199,8 @@
 
     gateway: Gateway
     server: Server
+    pools: Pools
+    discovery: Discovery
     port: int
 
     async def connect(self) -> Client:
@@ -231,12 +236,12 @@
 @asynccontextmanager
 async def running(config: dict[str, Any]) -> AsyncIterator[Running]:
     parsed = parse(config)
-    gateway = Gateway(parsed)
-    server = Server(parsed, gateway)
+    program = assemble(parsed)
+    gateway, server = program.gateway, program.server
     await server.start()
     assert server.listener is not None
     try:
-        yield Running(gateway, server, server.listener.getsockname()[1])
+        yield Running(gateway, server, program.pools, program.discovery, server.listener.getsockname()[1])
     finally:
         server.close()
         gateway.close()
--- a/tests/test_gateway_clients.py
+++ b/tests/test_gateway_clients.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cloverkeel.config import stable_id
+from cloverkeel.core.config import stable_id
 from tests.sockets import (
     answers,
     configuration,
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cloverkeel import server as server_module
+from cloverkeel.fronts.http1 import server as server_module
 from tests.sockets import configuration, on_loop, peer, reply, request, running, silent, until
 from tests.test_gateway_process import connect, program
 
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -119,7 +119,7 @@
             told = outcomes(run)
             assert (await run.ask(request("transfer"))).status == 503
             assert [event.outcome for event in told] == [Outcome.CONNECT_FAILED]
-            assert run.gateway.pools.open == 0
+            assert run.pools.open == 0
         for one in fill:
             one.close()
 
@@ -131,7 +131,7 @@
         assert (await run.ask(request("transfer", budget_ms=60))).status == 504
         assert [event.outcome for event in told] == [Outcome.TIMEOUT]
         await until(lambda: host.ended == 1)  # the host can tell that nobody waits
-        assert run.gateway.pools.open == 0 and not run.gateway.held
+        assert run.pools.open == 0 and not run.gateway.held
 
 
 @on_loop
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -5,11 +5,11 @@
 import asyncio
 
 from caperdrift.interface import ListKind, Outcome
-from cloverkeel.clock import now_us
-from cloverkeel.config import parse
-from cloverkeel.discovery import parse_list
-from cloverkeel.hosts import Attempt, HostConnection
-from cloverkeel.http1 import Reply
+from cloverkeel.core.clock import now_us
+from cloverkeel.core.config import parse
+from cloverkeel.membership.registry import parse_list
+from cloverkeel.upstream.pools import Attempt, HostConnection
+from cloverkeel.core.ports import End
 from tests.sockets import (
     Exchange,
     Running,
@@ -29,7 +29,7 @@
 
 
 def idle(run: Running, number: int = 0) -> list[HostConnection]:
-    return run.gateway.pools.hosts[host_id(number)].idle
+    return run.pools.hosts[host_id(number)].idle
 
 
 @on_loop
@@ -53,7 +53,7 @@
 async def test_a_connection_that_the_host_has_closed_is_not_written_to() -> None:
     async with peer() as host, running(configuration(host)) as run:
         assert (await run.ask(request("transfer"))).status == 200
-        pool, connection = run.gateway.pools, idle(run)[0]
+        pool, connection = run.pools, idle(run)[0]
         host.seen[0].writer.close()
         await until(lambda: not connection.is_fresh())
         ended: list[Outcome] = []
@@ -61,8 +61,8 @@
         if not idle(run):
             idle(run).append(connection)
 
-        def on_end(attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
-            ended.append(outcome)
+        def on_end(end: End) -> None:
+            ended.append(end.outcome)
 
         data = request("transfer")
         pool.send(Attempt(pool.hosts[host_id(0)], data, on_end), 20_000_000)
@@ -111,7 +111,7 @@
         for exchange in host.seen:
             exchange.answer(reply())
         await asyncio.gather(*tasks)
-        pools = run.gateway.pools
+        pools = run.pools
         for connection in idle(run):
             connection.idle_since_us -= 10_000_000
         pools.sweep()
@@ -140,10 +140,10 @@
 async def test_nothing_starts_after_the_grace_of_a_drain() -> None:
     """A connection that comes up too late carries nothing, even if the attempt was begun in time."""
     async with peer() as host, running(configuration(host)) as run:
-        pools, ended = run.gateway.pools, list[Outcome]()
+        pools, ended = run.pools, list[Outcome]()
 
-        def on_end(attempt: Attempt, outcome: Outcome, answer: Reply | None) -> None:
-            ended.append(outcome)
+        def on_end(end: End) -> None:
+            ended.append(end.outcome)
 
         known = pools.hosts[host_id(0)]
         pools.send(Attempt(known, request(), on_end), 20_000_000)
@@ -191,7 +191,7 @@
             client = await run.connect()
             for _ in range(6):
                 assert (await client.ask(request())).status == 200
-            pools = run.gateway.pools
+            pools = run.pools
             had = pools.open
             assert had >= 1
             object.__setattr__(run.server.config, "sockets", 1)
@@ -221,7 +221,7 @@
 async def test_an_attempt_given_up_as_its_connection_comes_up_leaves_nothing_behind() -> None:
     """Its opening is cancelled between connection_made and the task's end: the handle is closed unheard."""
     async with peer(silent) as host, running(configuration(host)) as run:
-        pools = run.gateway.pools
+        pools = run.pools
         connected = pools.on_connected
 
         def given_up(connection: HostConnection) -> None:
