--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -1,10 +1,15 @@
-"""Start, signals, exit."""
+"""Start, signals, exit; the commands.
+
+    python -m cloverkeel            the gateway: LB_CONFIG names its configuration
+    python -m cloverkeel try ...    real gateways among stand-ins; `try --help` tells more
+"""
 
 from __future__ import annotations
 
 import os
 import signal
 import sys
+from collections.abc import Sequence
 
 END_S = 3.4  # after the signal, whatever is left: the longest a client waits, and the time that new ones come
 
@@ -14,7 +19,27 @@
     os._exit(0)
 
 
-def main() -> int:
+def main(arguments: Sequence[str]) -> int:
+    """Exit code. Without arguments this is the gateway."""
+    if not arguments:
+        return run()
+    if arguments[0] == "try":
+        return _try(arguments[1:])
+    print(f"cloverkeel: {arguments[0]}: unknown command; expected try, or none for the gateway", file=sys.stderr)
+    return 2
+
+
+def _try(arguments: Sequence[str]) -> int:
+    # Imported here alone: what carries traffic knows nothing of stand-ins.
+    try:
+        from standins.command import main as play
+    except ModuleNotFoundError as error:
+        print(f"cloverkeel: try needs {error.name}: install the extra 'try', or use ./try.sh", file=sys.stderr)
+        return 2
+    return play(arguments)
+
+
+def run() -> int:
     early: list[int] = []  # SIGHUP before the loop runs: the file may have been read by then
     signal.signal(signal.SIGHUP, lambda signum, frame: early.append(signum))
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -71,4 +96,4 @@
 
 
 if __name__ == "__main__":
-    raise SystemExit(main())
+    raise SystemExit(main(sys.argv[1:]))
--- a/standins/auditor.py
+++ b/standins/auditor.py
@@ -1,1 +1,396 @@
-"""x"""
+"""Judges the four rules from a ledger: pure, no clock, no I/O.
+
+Invariants of this file: it reads what boxes, clients, the registry and the network wrote and nothing of a gateway's
+own; each breach carries the whole time line of what it is about; a limit that a party of the play saw late, since
+the stand-ins stood still (Lag), is longer by that much and no more.
+
+1. Nothing goes missing: one whole answer within the budget, and nothing sent after it. What a gateway held that was
+   killed outright, or was stopped, is the client's to ask again.
+2. Nothing takes effect twice: an unsafe request is sent on only once each earlier attempt was turned away or never
+   whole; a keyed one only to the same group and within the window; neither is refused once it may have run.
+3. Drains hold: no first byte later than the grace after word to that gateway.
+4. Cold hosts are spared: never more than the multiple of what the box can do at that moment, in so long.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from standins.ledger import (
+    Answered, Asked, BoxDown, BoxUp, Changed, Extra, Lag, Left, Ledger, Listening, Process, Rude, Run, Told,
+    Unanswered,
+)  # fmt: skip
+from standins.site import CLASSES, Klass, Rules
+
+RULES = ("missing", "twice", "drain", "cold", "crash")
+FOREVER_US = 2**62
+REFUSALS = (429, 503)
+KILLED_EARLY_US = 700_000  # after SIGTERM: what SIGKILL finds from then on should have been answered
+RUDE_PREFIX = "rude-"  # ids of clients that break the protocol
+
+
+@dataclass(slots=True, frozen=True)
+class Breach:
+    rule: str  # one of RULES
+    at_us: int
+    subject: str  # the request's id, the box, or the gateway
+    what: str
+    timeline: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        return "\n".join((f"{self.rule}: {self.subject}: {self.what}", *(f"    {x}" for x in self.timeline)))
+
+
+@dataclass(slots=True)
+class Life:
+    """One process of a gateway."""
+
+    start_us: int
+    end_us: int = FOREVER_US
+    term_us: int = FOREVER_US
+    kill_us: int = FOREVER_US
+    stops: list[tuple[int, int]] = field(default_factory=list)  # SIGSTOP to SIGCONT
+
+
+class Auditor:
+    """One reading of a ledger. `breaches()` gives all of them, by time."""
+
+    def __init__(
+        self, ledger: Ledger, rules: Rules | None = None, classes: Mapping[str, Klass] = CLASSES
+    ) -> None:
+        self.rules, self.classes = rules or Rules(), classes
+        self.ledger = ledger
+        self.asked: dict[str, list[Asked]] = defaultdict(list)
+        self.finals: dict[str, list[Answered | Unanswered]] = defaultdict(list)
+        self.runs: dict[str, list[Run]] = defaultdict(list)
+        self.told: dict[tuple[str, str], list[Told]] = defaultdict(list)
+        self.lives: dict[str, list[Life]] = defaultdict(list)
+        self.left: dict[str, int] = {}
+        self.extras: list[Extra] = []
+        self.rude: list[Rude] = []
+        self.ups: list[BoxUp] = []
+        self.fallen: list[BoxDown] = []
+        self.lags: list[Lag] = []
+        self.found: list[Breach] = []
+        self.end_us = 0
+        changed, calls = list[Changed](), list[Listening]()
+        for entry in ledger.entries:
+            self.end_us = max(self.end_us, entry.at_us)
+            match entry:
+                case Asked():
+                    self.asked[entry.id].append(entry)
+                case Answered() | Unanswered():
+                    self.finals[entry.id].append(entry)
+                case Run():
+                    self.runs[entry.id].append(entry)
+                case Told():
+                    self.told[entry.gateway, entry.box].append(entry)
+                case Process():
+                    self.on_process(entry)
+                case Left():
+                    self.left[entry.id] = entry.at_us
+                case Extra():
+                    self.extras.append(entry)
+                case Rude():
+                    self.rude.append(entry)
+                case BoxUp():
+                    self.ups.append(entry)
+                case BoxDown(how="fell"):
+                    self.fallen.append(entry)
+                case Lag():
+                    self.lags.append(entry)
+                case Changed():
+                    changed.append(entry)
+                case Listening():
+                    calls.append(entry)
+                case _:
+                    pass
+        self.lag_ends = [lag.at_us for lag in self.lags]
+        self.tell_the_silent(changed, calls)
+
+    # What is known of gateways
+
+    def on_process(self, entry: Process) -> None:
+        lives = self.lives[entry.gateway]
+        if entry.what == "start":
+            lives.append(Life(entry.at_us))
+            return
+        if not lives:
+            return
+        life = lives[-1]
+        match entry.what:
+            case "TERM":
+                life.term_us = min(life.term_us, entry.at_us)
+            case "KILL":
+                life.kill_us = min(life.kill_us, entry.at_us)
+            case "STOP":
+                life.stops.append((entry.at_us, FOREVER_US))
+            case "CONT" if life.stops:
+                life.stops[-1] = (life.stops[-1][0], entry.at_us)
+            case "exit":
+                life.end_us = entry.at_us
+                if not entry.asked or (entry.code != 0 and life.kill_us == FOREVER_US):
+                    what = f"ended with code {entry.code}" + ("" if entry.asked else ", and nobody had asked")
+                    self.breach("crash", entry.at_us, entry.gateway, what)
+            case _:
+                pass
+
+    def life(self, gateway: str, at_us: int) -> Life | None:
+        """The process that ran then."""
+        for life in reversed(self.lives.get(gateway, [])):
+            if life.start_us <= at_us:
+                return life
+        return None
+
+    def tell_the_silent(self, changed: list[Changed], calls: list[Listening]) -> None:
+        """A gateway that neither watched nor asked for so long counts as told of what it could have heard."""
+        by_gateway: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        for call in calls:
+            for name in [call.gateway] if call.gateway else list(self.lives):
+                by_gateway[name].append((call.at_us, (call.until_us or FOREVER_US) + self.rules.ask_us))
+        for gateway, lives in self.lives.items():
+            heard = sorted(by_gateway[gateway] + [(a.start_us, a.start_us + self.rules.ask_us) for a in lives])
+            for change in changed:
+                at_us = change.at_us
+                for since_us, until_us in heard:
+                    if since_us <= at_us < until_us:
+                        at_us = until_us
+                if at_us < self.end_us:
+                    self.told[gateway, change.box].append(Told(at_us, gateway, change.box, change.status))
+        for told in self.told.values():
+            told.sort(key=lambda entry: entry.at_us)
+
+    def lag_us(self, from_us: int, to_us: int) -> int:
+        """For how long the stand-ins stood still in this time."""
+        total = 0
+        for lag in self.lags[bisect_left(self.lag_ends, from_us) :]:
+            start_us = lag.at_us - lag.lag_us  # they follow one another, so their beginnings do too
+            if start_us >= to_us:
+                break
+            total += min(lag.at_us, to_us) - max(start_us, from_us)
+        return total
+
+    # Breaches
+
+    def breach(self, rule: str, at_us: int, subject: str, what: str, timeline: Iterable[str] = ()) -> None:
+        self.found.append(Breach(rule, at_us, subject, what, tuple(timeline)))
+
+    def about(self, id_: str, rule: str, at_us: int, what: str) -> None:
+        self.breach(rule, at_us, id_, what, self.timeline(id_))
+
+    def breaches(self) -> list[Breach]:
+        if self.ledger.dropped:
+            self.breach("missing", self.end_us, "ledger", f"{self.ledger.dropped} entries did not fit: no account")
+        for id_, asked in self.asked.items():
+            self.judge_answers(id_, asked)
+            self.judge_repeats(id_, asked)
+        for id_, runs in self.runs.items():
+            if id_ not in self.asked and not id_.startswith(RUDE_PREFIX):
+                self.about(id_, "missing", runs[0].at_us, "a box was sent a request that no client sent")
+            for run in runs:
+                self.judge_drain(run)
+        for extra in self.extras:
+            self.about(extra.id, "missing", extra.at_us, f"bytes where none were owed: {extra.data[:60]!r}")
+        for rude in self.rude:
+            if rude.status == 200:
+                self.breach("missing", rude.ended_us, rude.gateway, f"served a client that sent: {rude.what}")
+        self.judge_cold()
+        self.found.sort(key=lambda breach: breach.at_us)
+        return self.found
+
+    # 1. Nothing goes missing
+
+    def judge_answers(self, id_: str, asked: list[Asked]) -> None:
+        last = asked[-1]
+        limit_us = last.at_us + last.budget_us + self.rules.slack_us
+        finals = self.finals.get(id_, [])
+        left_us = self.left.get(id_, FOREVER_US)
+        answers = [final for final in finals if isinstance(final, Answered)]
+        if len(answers) > 1:
+            self.about(id_, "missing", answers[1].at_us, "a second answer")
+        if not finals:
+            if left_us == FOREVER_US and self.end_us > limit_us and not self.is_excused(last, limit_us):
+                self.about(id_, "missing", limit_us, "no answer at all")
+            return
+        final = finals[0]
+        if isinstance(final, Unanswered):
+            # Within its time, a close loses it; past it, so does silence.
+            if left_us > final.at_us and not self.is_excused(last, final.at_us):
+                what = {"none": "no answer in its time"}.get(final.how, f"its connection was ended ({final.how})")
+                self.about(id_, "missing", final.at_us, what)
+            return
+        late_us = final.at_us - limit_us - self.lag_us(limit_us - self.rules.slack_us, final.at_us)
+        if late_us > 0 and left_us > limit_us and not self.is_excused(last, final.at_us):
+            self.about(id_, "missing", final.at_us, f"answered {late_us / 1e3:.1f} ms past its time and the slack")
+        runs = self.runs.get(id_, [])
+        if final.status == 200:
+            made = [run for run in runs if run.how in ("ok", "duplicate") and run.over_us <= final.at_us]
+            if final.names != id_ or not made:
+                of = f" (it names {final.names!r})" if final.names != id_ else ""
+                self.about(id_, "missing", final.at_us, f"served with what no box made for it{of}")
+        for run in runs:
+            after_us = run.at_us - final.at_us - self.rules.slack_us
+            if after_us > self.lag_us(final.at_us, run.at_us):
+                self.about(id_, "missing", run.at_us, f"sent to {run.box} after its final answer")
+
+    def is_excused(self, asked: Asked, until_us: int) -> bool:
+        """Whether its gateway was killed outright or stopped while it held the request."""
+        life = self.life(asked.gateway, asked.at_us)
+        if life is None:
+            return not self.lives.get(asked.gateway)  # nobody wrote down its processes: then nothing is excused
+        if asked.at_us >= life.end_us:
+            return True  # its kernel had taken the bytes, and nobody was there any more
+        in_time = life.kill_us - life.term_us <= KILLED_EARLY_US
+        if life.kill_us <= until_us and in_time:
+            return True
+        return any(start <= until_us and end >= asked.at_us for start, end in life.stops)
+
+    # 2. Nothing takes effect twice
+
+    def judge_repeats(self, id_: str, asked: list[Asked]) -> None:
+        klass = self.classes.get(asked[0].klass)
+        if klass is None or klass.effect == "safe":
+            return
+        runs = sorted(self.runs.get(id_, []), key=lambda run: run.at_us)
+        for index, run in enumerate(runs):
+            if not run.whole_us:
+                continue  # it never came whole: no attempt
+            earlier = [e for e in runs[:index] if e.whole_us and not was_turned_away(e, run.at_us)]
+            if not earlier:
+                continue
+            if klass.effect == "unsafe":
+                self.about(id_, "twice", run.at_us, f"sent to {run.box} when it may have run at {earlier[0].box}")
+                continue
+            age_us = run.at_us - earlier[0].at_us
+            if any(e.group != run.group for e in earlier):
+                what = f"repeated at {run.box}, not of the group of {earlier[0].box}, where it may have run"
+                self.about(id_, "twice", run.at_us, what)
+            elif age_us >= klass.window_us:
+                what = f"repeated {age_us / 1e6:.3f} s after it was first sent; repeats are dropped for"
+                self.about(id_, "twice", run.at_us, f"{what} {klass.window_us / 1e6:g} s")
+        for final in self.finals.get(id_, []):
+            if isinstance(final, Answered) and final.status in REFUSALS:
+                ran = [r for r in runs if r.whole_us and not was_turned_away(r, final.at_us)]
+                ran = [r for r in ran if r.at_us <= final.at_us]
+                if ran:
+                    what = f"refused with {final.status}: harmless to repeat, but it may have run at {ran[0].box}"
+                    self.about(id_, "twice", final.at_us, what)
+
+    # 3. Drains hold
+
+    def judge_drain(self, run: Run) -> None:
+        life = self.life(run.gateway, run.at_us)
+        since_us = life.start_us if life is not None else 0
+        bad_us: int | None = None
+        for told in self.told.get((run.gateway, run.box), ()):
+            if told.at_us > run.at_us:
+                break
+            if told.at_us < since_us:
+                continue  # an earlier process heard it
+            if told.status == "SERVING":
+                bad_us = None
+            elif bad_us is None:
+                bad_us = told.at_us
+        if bad_us is None:
+            return
+        limit_us = bad_us + self.rules.grace_us + self.rules.slack_us
+        late_us = run.at_us - limit_us
+        if late_us > 0 and late_us > self.lag_us(limit_us - self.rules.slack_us, run.at_us):
+            what = f"{run.box} was sent it {(run.at_us - bad_us) / 1e6:.3f} s after {run.gateway} was told"
+            self.about(run.id, "drain", run.at_us, what)
+
+    # 4. Cold hosts are spared
+
+    def judge_cold(self) -> None:
+        by_box: dict[tuple[str, int], list[Run]] = defaultdict(list)
+        for runs in self.runs.values():
+            for run in runs:
+                if run.whole_us:
+                    by_box[run.box, run.incarnation].append(run)
+        for up in self.ups:
+            runs = sorted(by_box[up.box, up.incarnation], key=lambda run: run.whole_us)
+            over = self.overdriven(up, runs) if up.cold_share < 1.0 else None
+            fell = [d for d in self.fallen if (d.box, d.incarnation) == (up.box, up.incarnation)]
+            if over is not None:
+                at_us, what = over
+                self.breach("cold", at_us, up.box, what, self.box_timeline(up, runs, at_us))
+            elif fell:
+                lines = self.box_timeline(up, runs, fell[0].at_us)
+                self.breach("cold", fell[0].at_us, up.box, "it fell over", lines)
+
+    def overdriven(self, up: BoxUp, runs: list[Run]) -> tuple[int, str] | None:
+        rules, first, total = self.rules, 0, 0
+        for run in runs:
+            age_us = run.whole_us - up.at_us
+            if age_us >= up.warm_us:
+                return None
+            total += run.work_us
+            while runs[first].whole_us <= run.whole_us - rules.fall_us:
+                total -= runs[first].work_us
+                first += 1
+            share = up.cold_share + (1 - up.cold_share) * age_us / up.warm_us
+            limit = rules.multiple * share * up.cores * rules.fall_us
+            if total > limit:
+                what = f"sent {total / 1e3:.1f} ms of work in {rules.fall_us / 1e6:g} s, {limit / 1e3:.1f} at most"
+                return run.whole_us, f"{what}: it is {age_us / 1e6:.2f} s old"
+        return None
+
+    # Time lines
+
+    def timeline(self, id_: str) -> list[str]:
+        """All that any party saw of a request, in milliseconds since it was asked."""
+        lines: list[tuple[int, str]] = []
+        for asked in self.asked.get(id_, []):
+            text = f"client: {asked.klass} to {asked.gateway}, {asked.budget_us // 1000} ms"
+            text += f", key {asked.key}" if asked.key else ""
+            text += f", a try of {asked.first}" if asked.first not in ("", id_) else ""
+            lines.append((asked.at_us, text + (", once more on a new connection" if asked.again else "")))
+        for run in self.runs.get(id_, []):
+            at = f"{run.box}#{run.incarnation}"
+            lines.append((run.at_us, f"gateway {run.gateway or '?'}: first byte to {at} (group {run.group})"))
+            for moment_us, text in ((run.whole_us, "came whole"), (run.began_us, "began"), (run.over_us, run.how)):
+                if moment_us:
+                    lines.append((moment_us, f"{at}: {text}"))
+            for told in self.told.get((run.gateway, run.box), ()):
+                if told.at_us <= run.at_us and told.at_us > run.at_us - 10_000_000:
+                    lines.append((told.at_us, f"registry: told {told.gateway} that {told.box} is {told.status}"))
+        for final in self.finals.get(id_, []):
+            said = f"answer {final.status}" if isinstance(final, Answered) else f"no answer ({final.how})"
+            lines.append((final.at_us, f"client: {said}"))
+        if id_ in self.left:
+            lines.append((self.left[id_], "client: went away"))
+        for gateway in {asked.gateway for asked in self.asked.get(id_, [])}:
+            for life in self.lives.get(gateway, []):
+                for moment_us, text in ((life.term_us, "SIGTERM"), (life.kill_us, "SIGKILL"), (life.end_us, "ended")):
+                    if lines and min(lines)[0] - 5_000_000 < moment_us < max(lines)[0] + 5_000_000:
+                        lines.append((moment_us, f"gateway {gateway}: {text}"))
+        return in_order(lines, self.asked[id_][0].at_us if self.asked.get(id_) else None)
+
+    def box_timeline(self, up: BoxUp, runs: list[Run], at_us: int) -> list[str]:
+        """A box's life so far, and who sent what in the window before."""
+        lines = [(up.at_us, f"{up.box}#{up.incarnation}: up, {up.cold_share:.0%} of {up.cores} cores")]
+        for run in runs:
+            if at_us - self.rules.fall_us < run.whole_us <= at_us:
+                text = f"{run.gateway or '?'}: {run.klass} {run.id}, {run.work_us / 1e3:.1f} ms of work, {run.how}"
+                lines.append((run.whole_us, text))
+        return in_order(lines, up.at_us)
+
+
+def was_turned_away(run: Run, by_us: int) -> bool:
+    """Whether whoever sent it had been told by then that it never ran."""
+    return run.how == "rejected" and 0 < run.over_us <= by_us
+
+
+def in_order(lines: list[tuple[int, str]], zero_us: int | None) -> list[str]:
+    lines.sort()
+    if lines and zero_us is None:
+        zero_us = lines[0][0]
+    return [f"{(at_us - (zero_us or 0)) / 1e3:+10.1f} ms  {text}" for at_us, text in lines]
+
+
+def audit(ledger: Ledger, rules: Rules | None = None, classes: Mapping[str, Klass] = CLASSES) -> list[Breach]:
+    """All breaches, by time."""
+    return Auditor(ledger, rules, classes).breaches()
--- a/standins/box.py
+++ b/standins/box.py
@@ -164,7 +164,10 @@
     def take(self, job: Job) -> None:
         """A whole request has come."""
         run = job.run
-        run.work_us = draw(self.dice, job.klass.work_us) if not job.hint_us else job.hint_us
+        # What a client tells of the work is rough.
+        rough = self.dice.uniform(0.8, 1.25)
+        run.work_us = int(job.hint_us * rough) if job.hint_us else draw(self.dice, job.klass.work_us)
+        run.work_us += job.handshake_us
         if self.is_overdriven(run.work_us):
             self.fell = True
             self.crash("fell")
@@ -229,7 +232,8 @@
 
     def __init__(self, box: Box, connection: BoxConnection, run: Run, klass: Klass) -> None:
         self.box, self.connection, self.run, self.klass = box, connection, run, klass
-        self.hint_us = 0  # the work, where the client told it: it told the truth
+        self.hint_us = 0  # the work, where the client told it
+        self.handshake_us = 0
         self.path = ""
         self.until_us = 0  # when the gateway stops waiting
         self.timer: asyncio.TimerHandle | None = None
@@ -417,7 +421,7 @@
         job.until_us = run.whole_us + int(budget) * 1000 if budget.isdigit() else 0
         if self.fresh:
             self.fresh = False
-            job.hint_us = (job.hint_us or draw(self.box.dice, klass.work_us)) + self.box.kind.handshake_us
+            job.handshake_us = self.box.kind.handshake_us
         self.box.take(job)
 
     def write(self, data: bytes) -> None:
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,232 @@
+"""Real gateways as processes: started, signalled to, measured, and none left running behind."""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import IO, Any
+
+from standins.ledger import Ledger, Process, Usage, now_us
+from standins.network import Address
+
+ROOT = Path(__file__).parent.parent
+POLL_S = 0.02
+READY_S = 20.0  # for a gateway to say that it is ready
+USAGE_S = 0.5
+PR_SET_PDEATHSIG = 1
+PAGE = os.sysconf("SC_PAGE_SIZE")
+TICK_US = 1_000_000 // os.sysconf("SC_CLK_TCK")
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def _die_with_parent() -> None:
+    """In the child: the kernel kills it when this process ends, however that comes."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclass(eq=False)
+class Gateway:
+    """One gateway and its process, through restarts."""
+
+    name: str
+    room: int
+    folder: Path
+    configure: Callable[[], dict[str, Any]]  # the configuration for the next start
+    ledger: Ledger
+    on_ready: Callable[[Gateway], None] = lambda gateway: None
+    on_exit: Callable[[Gateway], None] = lambda gateway: None
+    port: int = 0
+    process: subprocess.Popen[bytes] | None = None
+    asked: bool = False  # a signal that ends it was sent
+    exits: list[int] = field(default_factory=list)
+    log: IO[bytes] | None = None
+    stopped: bool = False
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    @property
+    def address(self) -> Address:
+        return ("127.0.0.1", self.port)
+
+    @property
+    def file(self) -> Path:
+        return self.folder / f"{self.name}.json"
+
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    def write_configuration(self) -> None:
+        """Replace the file as a whole: who reads it meanwhile reads the old one or the new one."""
+        fresh = self.file.with_suffix(".new")
+        fresh.write_text(json.dumps(self.configure()))
+        fresh.replace(self.file)
+
+    def start(self) -> None:
+        assert not self.is_running, f"{self.name} runs"
+        self.port = self.port or free_port()
+        self.write_configuration()
+        self.log = self.log or (self.folder / f"{self.name}.log").open("ab")
+        self.asked, self.stopped = False, False
+        self.ledger.add(Process(now_us(), self.name, "start"))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "cloverkeel"], cwd=ROOT, env=os.environ | {"LB_CONFIG": str(self.file)},
+            stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log, preexec_fn=_die_with_parent,
+        )  # fmt: skip
+        self.spawn(self.follow(self.process))
+        self.spawn(self.await_ready(self.process))
+
+    def spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def follow(self, process: subprocess.Popen[bytes]) -> None:
+        """Until it ends: its exit, and what it holds meanwhile."""
+        loop, due = asyncio.get_running_loop(), 0.0
+        while (code := process.poll()) is None:
+            if loop.time() >= due:
+                due = loop.time() + USAGE_S
+                usage = usage_of(process.pid)
+                if usage is not None:
+                    self.ledger.add(Usage(now_us(), self.name, *usage))
+            await asyncio.sleep(POLL_S)
+        self.exits.append(code)
+        self.ledger.add(Process(now_us(), self.name, "exit", code, self.asked))
+        self.on_exit(self)
+
+    async def await_ready(self, process: subprocess.Popen[bytes]) -> None:
+        end = asyncio.get_running_loop().time() + READY_S
+        while process.poll() is None and asyncio.get_running_loop().time() < end:
+            if await is_ready(self.address):
+                self.ledger.add(Process(now_us(), self.name, "ready"))
+                self.on_ready(self)
+                return
+            await asyncio.sleep(POLL_S)
+
+    def signal(self, signum: signal.Signals) -> None:
+        if not self.is_running:
+            return
+        assert self.process is not None
+        self.asked = self.asked or signum in (signal.SIGTERM, signal.SIGINT, signal.SIGKILL)
+        self.stopped = signum is signal.SIGSTOP or (self.stopped and signum is not signal.SIGCONT)
+        self.ledger.add(Process(now_us(), self.name, signum.name.removeprefix("SIG")))
+        self.process.send_signal(signum)
+
+    async def ended(self, within_s: float) -> bool:
+        """Whether it ends within this time."""
+        end = asyncio.get_running_loop().time() + within_s
+        while self.is_running and asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(POLL_S)
+        return not self.is_running
+
+    async def restart(self, kill: bool = False, down_s: float = 0.8, kill_after_s: float = 3.7) -> None:
+        """A planned restart, or an outright kill; it is started again under its name and address."""
+        self.signal(signal.SIGKILL if kill else signal.SIGTERM)
+        if not await self.ended(kill_after_s):
+            self.signal(signal.SIGKILL)
+            await self.ended(5.0)
+        await asyncio.sleep(down_s)
+        if not self.is_running:
+            self.start()
+
+    def end(self) -> None:
+        """Kill it outright, and wait for it."""
+        if self.process is not None and self.process.poll() is None:
+            self.signal(signal.SIGKILL)
+            self.process.wait()
+        for task in self.tasks:
+            task.cancel()
+        if self.log is not None:
+            self.log.close()
+            self.log = None
+
+
+async def is_ready(address: Address) -> bool:
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(*address)
+            try:
+                writer.write(b"GET /health/ready HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n")
+                return (await reader.readline()).startswith(b"HTTP/1.1 200")
+            finally:
+                writer.transport.abort()
+    except (OSError, TimeoutError):
+        return False
+
+
+def usage_of(pid: int) -> tuple[int, int, int] | None:
+    """Resident memory in KiB, descriptors, and CPU time in microseconds; None if it has gone."""
+    try:
+        resident = int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE // 1024
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        return resident, len(os.listdir(f"/proc/{pid}/fd")), (int(fields[11]) + int(fields[12])) * TICK_US
+    except (OSError, IndexError, ValueError):
+        return None
+
+
+@dataclass
+class Fleet:
+    """All gateways of a play. As a context manager it leaves nothing running behind, whatever ends it."""
+
+    gateways: Sequence[Gateway]
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.end()
+
+    def start(self) -> None:
+        for gateway in self.gateways:
+            gateway.start()
+
+    async def ready(self, ledger: Ledger, within_s: float = READY_S) -> bool:
+        """Whether all have said that they are ready within this time."""
+        end = asyncio.get_running_loop().time() + within_s
+        while asyncio.get_running_loop().time() < end:
+            if {p.gateway for p in ledger.of(Process) if p.what == "ready"} >= {g.name for g in self.gateways}:
+                return True
+            await asyncio.sleep(POLL_S)
+        return False
+
+    async def wave(self, share: float, over_s: float, at_once: float, kill: bool = False) -> None:
+        """Restart this share of the gateways within so long, at most `at_once` of them (a share) together."""
+        chosen = list(self.gateways)[: max(1, round(share * len(self.gateways)))]
+        together = max(1, int(at_once * len(self.gateways)))
+        gate = asyncio.Semaphore(together)
+
+        async def one(gateway: Gateway, wait_s: float) -> None:
+            await asyncio.sleep(wait_s)
+            async with gate:
+                await gateway.restart(kill)
+
+        await asyncio.gather(*(one(g, over_s * n / len(chosen)) for n, g in enumerate(chosen)))
+
+    async def stop(self, within_s: float = 6.0) -> None:
+        """End all as a planned restart does, and wait."""
+        for gateway in self.gateways:
+            if gateway.stopped:
+                gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGTERM)
+        await asyncio.gather(*(gateway.ended(within_s) for gateway in self.gateways))
+        await asyncio.sleep(2 * POLL_S)  # their exits are written down
+
+    def end(self) -> None:
+        for gateway in self.gateways:
+            gateway.end()
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -22,6 +22,16 @@
     return (_OFFSET_NS + time.monotonic_ns()) // 1000
 
 
+@dataclass(slots=True, eq=False)
+class Wanted:
+    """A client wants something, and will ask for it in one try or several."""
+
+    at_us: int
+    id: str  # of the first try
+    klass: str
+    room: str
+
+
 @dataclass(slots=True, eq=False)
 class Asked:
     """A client has written the last byte of a request to a connection that a gateway's machine accepted."""
@@ -211,13 +221,13 @@
 
 
 Entry = (
-    Asked | Answered | Unanswered | Left | Extra | Rude | Run | BoxUp | BoxDown | BoxLoad | Told | Changed
+    Wanted | Asked | Answered | Unanswered | Left | Extra | Rude | Run | BoxUp | BoxDown | BoxLoad | Told | Changed
     | Listening | Process | Usage | Lag | Trouble
 )  # fmt: skip
 KINDS: dict[str, type[Any]] = {
     kind.__name__: kind
     for kind in (
-        Asked, Answered, Unanswered, Left, Extra, Rude, Run, BoxUp, BoxDown, BoxLoad, Told, Changed,
+        Wanted, Asked, Answered, Unanswered, Left, Extra, Rude, Run, BoxUp, BoxDown, BoxLoad, Told, Changed,
         Listening, Process, Usage, Lag, Trouble,
     )
 }  # fmt: skip
--- a/test.sh
+++ b/test.sh
@@ -3,11 +3,11 @@
 set -eu
 cd "$(dirname "$0")"
 python=.venv-dev/bin/python
-if ! cat requirements.txt requirements-dev.txt | cmp -s - .venv-dev/built; then
+if ! cat requirements*.txt | cmp -s - .venv-dev/built; then
     rm -rf .venv-dev
     python3 -m venv .venv-dev
     $python -m pip -q install -r requirements-dev.txt
-    cat requirements.txt requirements-dev.txt >.venv-dev/built
+    cat requirements*.txt >.venv-dev/built
 fi
 $python -m ruff check .
 $python -m mypy
