Proving ground: tests of auditor, stand-ins and try; the dead hold nothing

Need: an auditor is worth what it finds and what it passes, and stand-ins must do what they say.

What a process held that was killed is the client's to ask again: a client that sends the same once more on a new connection is no repeat of the gateway's.

--- a/standins/registry.py
+++ b/standins/registry.py
@@ -82,12 +82,12 @@
     async def learn(self, entry: Entry, status: str, wait_s: float) -> None:
         await asyncio.sleep(wait_s)
         async with self.news:
+            if status != "SERVING" and self.entries.get(entry.name) is not entry:
+                return  # another has been registered under its name meanwhile
             self.index += 1
             entry.status = status
             if status == "DELETED":
-                # Only itself: another box may have been registered under its name meanwhile.
-                if self.entries.get(entry.name) is entry:
-                    del self.entries[entry.name]
+                del self.entries[entry.name]
             else:
                 self.entries[entry.name] = entry
             self.history.append((self.index, entry.name, self.form(entry)))
--- /dev/null
+++ b/tests/test_standin_clients.py
@@ -0,0 +1,251 @@
+"""Stand-in clients, their front, and gateways as processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import textwrap
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from standins.clients import Clients, Door, Front, Habits, be_rude, rude_requests
+from standins.fleet import ROOT, Fleet, Gateway, free_port, usage_of
+from standins.ledger import Answered, Asked, Extra, Ledger, Process, Rude, Unanswered, Wanted
+from standins.network import Address
+from standins.site import CLASSES
+
+from tests.sockets import Exchange, Peer, configuration, on_loop, peer, reply, until
+
+
+def door(to: Peer, name: str = "n0", room: int = 0) -> Door:
+    host, _, port = to.address.partition(":")
+    return Door(name, room, (host, int(port)))
+
+
+def echo(exchange: Exchange) -> None:
+    exchange.answer(reply(200, exchange.message.headers["x-call-id"].encode() + b" s-0 ..."))
+
+
+def clients_of(*doors: Door, **habits: Any) -> Clients:
+    front = Front(1, notice_s=(0.05, 0.06))
+    for one in doors:
+        front.admit(one)
+    return Clients(Ledger(), front, 1, 200.0, Habits(leave=0.0, wait_s=0.001) if not habits else Habits(**habits))
+
+
+@on_loop
+async def test_the_mix_of_classes_follows_the_brief_and_every_answer_is_written_down() -> None:
+    async with peer(echo) as gateway:
+        clients = clients_of(door(gateway))
+        await clients.run(1.0)
+        wanted = list(clients.ledger.of(Wanted))
+        assert 120 < len(wanted) < 300
+        shares = Counter(want.klass for want in wanted)
+        for klass in CLASSES.values():
+            assert abs(shares[klass.name] / len(wanted) - klass.share) < 0.12
+        answers = list(clients.ledger.of(Answered))
+        assert len(answers) == len(wanted) and all(a.status == 200 and a.names == a.id for a in answers)
+        posts = [x.message for x in gateway.seen if x.message.first.startswith("POST /hold")]
+        assert posts and all("idempotency-key" in message.headers for message in posts)
+
+
+@on_loop
+async def test_the_same_seed_draws_the_same_wants() -> None:
+    async def drawn(seed: int) -> list[str]:
+        async with peer(echo) as gateway:
+            clients = clients_of(door(gateway))
+            clients.dice = random.Random(seed)
+            for _ in range(30):
+                clients.spawn()
+            await asyncio.wait(clients.tasks)
+            return sorted(want.klass for want in clients.ledger.of(Wanted))
+
+    assert await drawn(3) == await drawn(3)
+
+
+@on_loop
+async def test_a_refused_want_is_tried_again_under_a_new_id_and_a_failed_transfer_is_not() -> None:
+    def refuse(exchange: Exchange) -> None:
+        exchange.answer(reply(503, b"", "Retry-After: 0.001"))
+
+    async with peer(refuse) as gateway:
+        clients = clients_of(door(gateway))
+        await clients.want(CLASSES["transfer"])
+        assert [asked.id for asked in clients.ledger.of(Asked)] == ["1.1", "1.1-1", "1.1-2"]
+        assert {asked.first for asked in clients.ledger.of(Asked)} == {"1.1"}
+        assert next(iter(clients.ledger.of(Answered))).retry_after_us == 1000
+        gateway.script = lambda exchange: exchange.answer(reply(502, b""))
+        await clients.want(CLASSES["transfer"])
+        assert [asked.id for asked in clients.ledger.of(Asked)][3:] == ["1.2"]
+        await clients.want(CLASSES["hold"])
+        keys = [x.message.headers["idempotency-key"] for x in gateway.seen[4:]]
+        assert len(keys) == 3 and len(set(keys)) == 1  # the same thing, so the same key
+
+
+@on_loop
+async def test_a_close_that_crosses_a_request_is_met_with_the_same_once_more() -> None:
+    def once(exchange: Exchange) -> None:
+        if len(gateway.seen) == 2:
+            exchange.reset()
+        else:
+            echo(exchange)
+
+    async with peer(once) as gateway:
+        clients = clients_of(door(gateway))
+        klass = CLASSES["search"]
+        clients.dice = random.Random(4)  # both in one room, so on one connection
+        await clients.want(klass)
+        while len(gateway.seen) < 3:
+            await clients.want(klass)
+        again = [asked for asked in clients.ledger.of(Asked) if asked.again]
+        assert not again or again[0].id in [a.id for a in clients.ledger.of(Answered)]
+        assert sum(isinstance(e, Unanswered) for e in clients.ledger.entries) == (0 if again else 1)
+
+
+@on_loop
+async def test_silence_and_bytes_that_nobody_asked_for_are_written_down() -> None:
+    async with peer(lambda exchange: None) as gateway:
+        clients = clients_of(door(gateway), retries=0, try_share=0.05, leave=0.0)
+        await clients.want(CLASSES["search"])
+        assert [lost.how for lost in clients.ledger.of(Unanswered)] == ["none"]
+
+        def twice(exchange: Exchange) -> None:
+            echo(exchange)
+            asyncio.get_running_loop().call_later(0.02, exchange.answer, b"HTTP/1.1 200 OK\r\n")
+
+        gateway.script = twice
+        await clients.want(CLASSES["search"])
+        await until(lambda: list(clients.ledger.of(Extra)))
+
+
+@on_loop
+async def test_the_front_deals_by_room_and_is_slow_to_notice() -> None:
+    addresses: list[Address] = [("127.0.0.1", n) for n in range(1, 5)]
+    doors = [Door(f"n{n}", n % 2, address) for n, address in enumerate(addresses)]
+    front = Front(1, notice_s=(0.05, 0.06))
+    assert front.pick(0) is None
+    for one in doors:
+        front.admit(one)
+    picked = [front.pick(1) for _ in range(10)]
+    assert Counter(d.name for d in picked if d) == {"n1": 5, "n3": 5}
+    front.on_dead("n1")
+    assert {d.name for d in (front.pick(1) for _ in range(4)) if d} == {"n1", "n3"}  # not yet noticed
+    await until(lambda: not doors[1].is_open)
+    assert {d.name for d in (front.pick(1) for _ in range(4)) if d} == {"n3"}
+    front.on_dead("n3")
+    front.admit(doors[3])  # it is back before anybody noticed
+    await asyncio.sleep(0.08)
+    assert doors[3].is_open
+    front.shut("n3")
+    assert {d.room for d in (front.pick(1) for _ in range(4)) if d} == {0}  # no gateway left in the room
+
+
+@pytest.mark.parametrize("kind", sorted(rude_requests(random.Random(1))))
+@on_loop
+async def test_clients_that_break_the_protocol_are_owed_an_error_or_a_close(kind: str) -> None:
+    """The real gateway, in this process: each kind gets one of them, and reaches no host."""
+    from tests.sockets import running
+
+    async with peer() as host, running(configuration(host)) as run:
+        ledger = Ledger()
+        rude = await be_rude(ledger, Door("n0", 0, ("127.0.0.1", run.port)), random.Random(1), kind)
+        assert rude is not None and list(ledger.of(Rude)) == [rude]
+        assert rude.ended_us - rude.at_us < 3_000_000 and rude.ended_us
+        assert rude.status == 0 or rude.status >= 400
+        assert not host.seen
+
+
+def gateway_of(folder: Path, host: Peer, **changes: Any) -> tuple[Gateway, Ledger]:
+    ledger, port = Ledger(), free_port()
+    config = configuration(host) | {"listen": f"127.0.0.1:{port}"} | changes
+    return Gateway("n0", 0, folder, lambda: config, ledger, port=port), ledger
+
+
+@on_loop
+async def test_a_gateway_as_a_process_through_restarts(tmp_path: Path) -> None:
+    async with peer() as host:
+        gateway, ledger = gateway_of(tmp_path, host)
+        ready, exits = list[str](), list[str]()
+        gateway.on_ready = lambda one: ready.append(one.name)
+        gateway.on_exit = lambda one: exits.append(one.name)
+        with Fleet([gateway]) as fleet:
+            fleet.start()
+            assert await fleet.ready(ledger)
+            assert gateway.process is not None
+            usage = usage_of(gateway.process.pid)
+            assert usage is not None and usage[0] > 5_000 and usage[1] >= 3
+            gateway.signal(signal.SIGHUP)
+            await gateway.restart(down_s=0.0)
+            await until(lambda: len(ready) == 2)
+            await gateway.restart(kill=True, down_s=0.0)
+            await until(lambda: len(ready) == 3)
+            await fleet.stop()
+        assert gateway.exits == [0, -9, 0] and exits == ["n0"] * 3
+        whats = [entry.what for entry in ledger.of(Process)]
+        assert whats == ["start", "ready", "HUP", "TERM", "exit", "start", "ready", "KILL", "exit", "start", "ready",
+                         "TERM", "exit"]  # fmt: skip
+        assert all(entry.asked for entry in ledger.of(Process))
+
+
+@on_loop
+async def test_an_exit_that_nobody_asked_for_is_told_as_such(tmp_path: Path) -> None:
+    async with peer() as host:
+        gateway, ledger = gateway_of(tmp_path, host, settings={"lanes": []})
+        with Fleet([gateway]) as fleet:
+            fleet.start()
+            await until(lambda: gateway.exits)
+        (ended,) = [entry for entry in ledger.of(Process) if entry.what == "exit"]
+        assert ended.code == 2 and not ended.asked
+
+
+def is_alive(pid: int) -> bool:
+    try:
+        state = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+    except OSError:
+        return False
+    return state != "Z"
+
+
+@pytest.mark.parametrize("how", ["error", "kill"])
+def test_nothing_is_left_running_behind(tmp_path: Path, how: str) -> None:
+    """After an error inside, and after the player itself was killed outright."""
+    code = textwrap.dedent(f"""
+        import asyncio, json, pathlib, sys
+        from standins.fleet import Fleet, Gateway
+        from standins.ledger import Ledger
+        async def main():
+            folder = pathlib.Path({str(tmp_path)!r})
+            config = json.loads((folder / "config").read_text())
+            gateways = [Gateway(f"n{{n}}", 0, folder, lambda: config | {{"listen": "127.0.0.1:0"}}, Ledger())
+                        for n in range(2)]
+            with Fleet(gateways) as fleet:
+                fleet.start()
+                print(*[g.process.pid for g in gateways], flush=True)
+                if {how!r} == "error":
+                    raise RuntimeError("planned")
+                await asyncio.sleep(60)
+        asyncio.run(main())
+    """)
+    (tmp_path / "config").write_text(json.dumps(configuration("127.0.0.1:9")))
+    player = subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    assert player.stdout is not None
+    pids = [int(word) for word in player.stdout.readline().split()]
+    assert len(pids) == 2
+    if how == "kill":
+        os.kill(player.pid, signal.SIGKILL)
+    player.wait(timeout=20)
+    player.communicate()
+    for _ in range(1000):
+        if not any(map(is_alive, pids)):
+            break
+        time.sleep(0.01)
+    assert not any(map(is_alive, pids))
--- /dev/null
+++ b/tests/test_try.py
@@ -0,0 +1,239 @@
+"""The command `try`: scenarios checked, plays judged, figures and pages written, and bad gateways not passed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import signal
+import subprocess
+import sys
+import time
+from html.parser import HTMLParser
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from standins.auditor import audit
+from standins.fleet import ROOT
+from standins.ledger import Answered, Asked, Ledger, Lag, Run, Wanted
+from standins.play import World, play
+from standins.scenario import ACTIONS, ScenarioError, load, names, parse
+from standins.summary import quantile, summarise
+
+
+def run_try(*arguments: str, seconds: float = 90) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "cloverkeel", "try", *arguments], cwd=ROOT, capture_output=True, text=True,
+        timeout=seconds,
+    )  # fmt: skip
+
+
+# Scenarios
+
+
+def test_every_scenario_that_is_shipped_can_be_read() -> None:
+    wanted = {"calm", "crash", "hang", "silent", "drain", "cold", "shrink", "restart-wave", "partition",
+              "bad-clients", "bad-boxes", "term-start"}  # fmt: skip
+    assert wanted <= set(names())
+    for name in names():
+        scenario = load(name)
+        assert scenario.about and all(hasattr(World, f"do_{trouble.do}") for trouble in scenario.troubles)
+    assert all(hasattr(World, f"do_{action}") for action in ACTIONS)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("about = ", "x.toml: not TOML"),
+        ("seconds = 3", "x.toml: about: missing; expected a text"),
+        ('about = "a"\nseconds = "3"', "x.toml: seconds: expected a number from 1 to 600, found '3'"),
+        ('about = "a"\nspeed = 3', "x.toml: speed: unknown; expected one of about, fleet, seconds, trouble"),
+        ('about = "a"\n[fleet]\nboxes = 0', "x.toml: fleet: boxes: expected a whole number from 1 to 64, found 0"),
+        ('about = "a"\n[fleet]\nboxes = true', "x.toml: fleet: boxes: expected a whole number"),
+        ('about = "a"\n[[trouble]]\nat = 1\ndo = "explode"', "x.toml: trouble 1: do: expected one of bad"),
+        ('about = "a"\n[[trouble]]\nat = 1\ndo = "hang"', "x.toml: trouble 1 (hang): for: missing; expected a num"),
+        ('about = "a"\n[[trouble]]\ndo = "hang"\nfor = 1', "x.toml: trouble 1 (hang): at: missing"),
+        ('about = "a"\n[[trouble]]\nat = 99\ndo = "hang"\nfor = 1', "at: expected a number from 0 to 60, found 99"),
+        ('about = "a"\n[[trouble]]\nat = 1\ndo = "hang"\nfor = 1\nboxes = 9', "expected at most the fleet's 6"),
+        ('about = "a"\n[[trouble]]\nat = 1\ndo = "registry_down"\nfor = 1\nhow = "x"', "expected one of '503'"),
+        ('about = "a"\ntrouble = 3', "x.toml: trouble: expected a list of tables"),
+        ('about = "a"\ntrouble = [3]', "x.toml: trouble 1: expected a table, found 3"),
+    ],
+)
+def test_a_mistake_names_file_key_and_what_was_expected(text: str, said: str) -> None:
+    with pytest.raises(ScenarioError) as error:
+        parse(text, "x", "x.toml")
+    wanted = said.replace("expected one of bad", "expected one of " + sorted(ACTIONS)[0])
+    assert wanted in str(error.value) and "\n" not in str(error.value)
+
+
+@pytest.mark.parametrize(
+    ("arguments", "said"),
+    [
+        (("--scenario", "nowhere"), "nowhere: no such scenario; expected a file or one of bad-boxes"),
+        (("--scenario", "./none.toml"), "none.toml: No such file"),
+        (("--seconds", "0"), "--seconds: expected a number from 1 to 600, found 0"),
+        (("--json", "/no/such/folder/x"), "its folder does not exist"),
+        (("--audit", "/no/such/ledger"), "No such file"),
+    ],
+)
+def test_what_cannot_be_used_is_one_line_and_exit_code_2(arguments: tuple[str, ...], said: str) -> None:
+    done = run_try(*arguments)
+    assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_the_list_names_every_scenario() -> None:
+    done = run_try("--list")
+    assert done.returncode == 0 and all(name in done.stdout for name in names())
+
+
+def test_an_unknown_command_is_told() -> None:
+    done = subprocess.run([sys.executable, "-m", "cloverkeel", "fly"], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 2 and "fly: unknown command; expected" in done.stderr
+
+
+# Plays
+
+
+class Page(HTMLParser):
+    """What a page would load from elsewhere, and what it shows."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.outside: list[str] = []
+        self.tags: list[str] = []
+
+    def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
+        self.tags.append(tag)
+        self.outside += [value or "" for name, value in attrs if name in ("src", "href")]
+
+
+SMALL = """
+about = "A short play with a crash, a drain and a restart"
+seconds = 6
+[fleet]
+boxes = 4
+gateways = 2
+load = 0.3
+[[trouble]]
+at = 1
+do = "crash"
+for = 2
+[[trouble]]
+at = 2
+do = "wave"
+share = 0.5
+over = 1
+[[trouble]]
+at = 3
+do = "rude"
+for = 2
+rate = 10
+"""
+
+
+def test_a_play_keeps_the_rules_and_writes_figures_a_page_and_its_ledger(tmp_path: Path) -> None:
+    file, figures, page, ledger = (tmp_path / name for name in ("small.toml", "f.json", "p.html", "l.jsonl"))
+    file.write_text(SMALL)
+    done = run_try(
+        "--scenario", str(file), "--seed", "5", "--json", str(figures), "--report", str(page), "--ledger", str(ledger)
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    found = json.loads(figures.read_text())
+    assert found["breaches"] == {"missing": 0, "twice": 0, "drain": 0, "cold": 0, "crash": 0}
+    assert found["service"] > 0.5 and found["classes"]["hold"]["wanted"] > 20 and found["restarts"] == 1
+    assert found["rude"] > 3 and found["memory_mib"] > 5 and found["cpu_us"] > 0
+    assert "kept" in done.stdout and "crash" in done.stdout
+    shown = Page()
+    shown.feed(page.read_text())
+    assert not shown.outside and shown.tags.count("svg") == 3 and "polyline" in shown.tags
+    assert "script" not in shown.tags
+    again = run_try("--audit", str(ledger))
+    assert again.returncode == 0 and "0 breaches" in again.stdout
+    # A line changed by hand is found when it is judged again.
+    text = ledger.read_text()
+    assert re.search(r'"status": 200, "names": "5\.1"', text)
+    ledger.write_text(re.sub(r'"status": 200, "names": "5\.1"', '"status": 200, "names": "other"', text))
+    again = run_try("--audit", str(ledger))
+    assert again.returncode == 1 and "served with what no box made for it" in again.stdout
+
+
+CARELESS = """
+about = "Answers are broken off"
+seconds = 4
+[fleet]
+boxes = 4
+gateways = 2
+load = 0.3
+[[trouble]]
+at = 0.5
+do = "reset"
+boxes = 3
+for = 3
+share = 0.5
+"""
+
+
+def test_a_gateway_that_sends_transfers_again_is_not_passed() -> None:
+    def on_world(world: World) -> None:
+        for gateway in world.gateways:
+            gateway.command = (sys.executable, "-m", "tests.careless")
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        world = runner.run(play(parse(CARELESS, "careless", "careless"), 1, None, on_world))
+    breaches = audit(world.ledger, world.rules)
+    assert any(b.rule == "twice" and "may have run" in b.what for b in breaches)
+    assert any(b.rule == "crash" for b in breaches)  # it heeds no SIGTERM
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_clean_play_raises_no_alarm(seed: int) -> None:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        world = runner.run(play(load("calm"), seed, 2.0))
+    assert not audit(world.ledger, world.rules)
+    assert sum(1 for _ in world.ledger.of(Wanted)) > 100
+    assert all(gateway.exits == [0] for gateway in world.gateways)
+
+
+def test_ctrl_c_ends_the_play_and_leaves_nothing_behind() -> None:
+    player = subprocess.Popen(
+        [sys.executable, "-m", "cloverkeel", "try", "--scenario", "calm", "--seconds", "60"], cwd=ROOT,
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    children = Path(f"/proc/{player.pid}/task/{player.pid}/children")
+    started = list[int]()
+    for _ in range(2000):
+        started = [int(pid) for pid in children.read_text().split()]
+        if len(started) >= 3:
+            break
+        time.sleep(0.01)
+    assert len(started) >= 3
+    player.send_signal(signal.SIGINT)
+    _, said = player.communicate(timeout=30)
+    assert player.returncode == 130 and "nothing is left running" in said
+    assert not any(Path(f"/proc/{pid}/cmdline").exists() for pid in started)
+
+
+# Figures
+
+
+def test_figures_count_wants_not_tries() -> None:
+    ledger = Ledger()
+    ledger.add(Wanted(1_000_000, "a", "search", "kita-room"))
+    ledger.add(Asked(1_000_000, "a", "search", "n0", 300_000, first="a"))
+    ledger.add(Answered(1_050_000, "a", 503))
+    ledger.add(Asked(1_100_000, "a-1", "search", "n0", 300_000, first="a"))
+    ledger.add(Answered(1_290_000, "a-1", 200, "a-1"))
+    ledger.add(Wanted(2_000_000, "b", "search", "kita-room"))
+    ledger.add(Asked(2_000_000, "b", "search", "n0", 400_000, first="b"))
+    ledger.add(Answered(2_310_000, "b", 200, "b"))  # past its aim
+    ledger.add(Run(1_100_100, "s-0", 1, 0, "a-1", "search", whole_us=1_100_200, how="ok"))
+    ledger.add(Lag(3_000_000, 0))
+    summary = summarise(ledger, [], "x", 1, 2.0, 3_000_000)
+    figures = summary.classes["search"]
+    assert (figures.wanted, figures.in_time, figures.tries, figures.attempts) == (2, 1, 3, 1.0)
+    assert summary.service == 0.5
+    assert figures.statuses == {"200": 2, "503": 1} and figures.longest == 310.0
+    assert quantile([], 0.5) == 0.0 and quantile([1, 2, 3, 4], 0.5) == 3
