--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Long measurements: tools, no tests."""
--- a/cloverkeel/core/messages.py
+++ b/cloverkeel/core/messages.py
@@ -16,19 +16,28 @@
 
 def end_to_end(headers: Iterable[Header], without: frozenset[bytes] = frozenset()) -> list[Header]:
     """Headers that may pass on: none that is meant for this connection only, here or by `Connection`."""
-    kept = [(name, value) for name, value in headers if name.lower() not in HOP_BY_HOP]
-    named = {
-        part.strip().lower()
-        for name, value in headers
-        if name.lower() == b"connection"
-        for part in value.split(b",")
-    } | without
-    return [(name, value) for name, value in kept if name.lower() not in named]
+    kept: list[tuple[bytes, Header]] = []
+    named: set[bytes] = set()
+    for pair in headers:
+        name = pair[0].lower()
+        if name == b"connection":
+            named.update(tokens(pair[1]))
+        elif name not in HOP_BY_HOP and name not in without:
+            kept.append((name, pair))
+    return [pair for name, pair in kept if name not in named]
+
+
+def tokens(value: bytes) -> list[bytes]:
+    """What a list of names names, in lower case."""
+    return [part.strip().lower() for part in value.split(b",")]
 
 
 def header(headers: Iterable[Header], wanted: bytes) -> bytes | None:
     """The first header of that name (lower case)."""
-    return next((value for name, value in headers if name.lower() == wanted), None)
+    for name, value in headers:
+        if name.lower() == wanted:
+            return value
+    return None
 
 
 class Reply:
--- a/cloverkeel/fronts/http1/server.py
+++ b/cloverkeel/fronts/http1/server.py
@@ -41,6 +41,7 @@
     501: b"Not Implemented", 502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
     505: b"HTTP Version Not Supported",
 }  # fmt: skip
+STATUS_LINES = {status: b"HTTP/1.1 %d %s" % (status, reason) for status, reason in REASONS.items()}
 Phase = dict["ClientConnection", float]  # since when each is in it, the longest first
 
 
@@ -364,9 +365,9 @@
             bool(self.reader.done) or self.reader.has_begun
         )  # what was read is answered, on the way out too
         last = not request.keep_alive or (self.server.draining and not more)
-        lines = [b"HTTP/1.1 %d %s" % (status, REASONS[status])]
+        lines = [STATUS_LINES[status]]
         lines += [b"%s: %s" % pair for pair in headers]
-        lines += [b"Content-Length: %d" % len(body)]
+        lines.append(b"Content-Length: %d" % len(body))
         if last:
             lines.append(b"Connection: close")
         if request.method == b"HEAD":
--- a/cloverkeel/upstream/pools.py
+++ b/cloverkeel/upstream/pools.py
@@ -140,8 +140,11 @@
 class Pools:
     """Carries attempts to hosts. Every attempt that is sent ends once, by its `on_end`."""
 
-    def __init__(self, settings: Settings, room: Callable[[], None] = lambda: None) -> None:
+    def __init__(
+        self, settings: Settings, room: Callable[[], None] = lambda: None, reads_load: bool = False
+    ) -> None:
         self.settings = settings
+        self.reads_load = reads_load  # the decision module ignores load reports: they are read for who does not
         self.loop = asyncio.get_running_loop()
         self.room = room  # called before a descriptor is taken
         self.hosts: dict[int, Host] = {}
@@ -288,7 +291,8 @@
         if outcome is Outcome.CONNECT_FAILED:
             self.counts.failed += 1
         attempt.connection = attempt.opening = None
-        attempt.on_end(End(outcome, attempt.latency_us, reply, load_of(reply)))
+        load = load_of(reply) if self.reads_load else None
+        attempt.on_end(End(outcome, attempt.latency_us, reply, load))
 
     def on_timeout(self, attempt: Attempt) -> None:
         # What was never written cannot have run, also when the time ended while connecting.
--- a/standins/play.py
+++ b/standins/play.py
@@ -308,6 +308,7 @@
 
     async def leave(self, box: Box) -> None:
         """As a planned end goes: the registry hears of it, the box finishes what it has, then it is gone."""
+        box.leaving = True
         self.registry.announce(self.entries[box.name], "DRAINING", self.dice.uniform(0.1, 0.5))
         await asyncio.sleep(DRAINS_S)
         box.faults.drain = True
