A stand-in coordination service that speaks the ZooKeeper client protocol

Need: membership from ephemeral nodes is to be shown against sessions that expire, connections that are severed and an ensemble that loses its leader or its last seconds; no such service is to be had but one that is written here.

Change: standins/zookeeper: the records of the published protocol without I/O (jute), the nodes with one place that decides a change and any number that apply it (tree), watches one-shot, persistent and recursive (watches), and the servers of one ensemble on loopback (ensemble) with negotiated timeouts, sessions that expire and move, followers that lag by choice, read-only service, sync, multi, ACLs, setWatches and addWatch. Faults: expire, sever or silence a session, hold its notifications, lose the answer to a write that was done, lose the leader, the ensemble, or its last changes. What cannot be read gets a close.

--- /dev/null
+++ b/standins/zookeeper/ensemble.py
@@ -0,0 +1,584 @@
+"""Servers of one ensemble on loopback: one state, followers that lag, sessions that expire, and faults on command.
+
+The leader decides each change on its own tree and puts it in the log; each server applies the log to its replica,
+at once or so much later, and its watches fire then. Reads come from the replica. A write is answered once the
+server that took it has applied it, so that a client sees its own writes. Requests of one connection are answered in
+their order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import hashlib
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+from standins.network import Address
+from standins.zookeeper.jute import (
+    AddWatch,
+    Auth,
+    Bare,
+    Code,
+    ConnectRequest,
+    ConnectResponse,
+    Create,
+    Deframer,
+    JuteError,
+    Multi,
+    OnPath,
+    Op,
+    Perm,
+    Read,
+    RemoveWatches,
+    ReplyHeader,
+    Request,
+    SetAcl,
+    SetData,
+    SetWatches,
+    WatcherEvent,
+    Writer,
+    decode_request,
+    frame,
+)
+from standins.zookeeper.tree import (
+    Change,
+    Created,
+    Event,
+    KeeperError,
+    SessionClosed,
+    Step,
+    Tree,
+    allows,
+    is_valid,
+    is_write,
+)
+from standins.zookeeper.watches import Kind, Watches
+
+LOG_LIMIT = 200_000  # changes: an ensemble that is given more refuses them
+PIPELINE = 1_000  # requests of one connection that wait; more are not read
+WORDS = {b"ruok": b"imok", b"srvr": b"Zookeeper version: 3.8.0-standin, built on 2022\nMode: "}
+NO_SESSION = ConnectResponse(0, 0, b"\x00" * 16)
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    id: int
+    password: bytes
+    timeout_ms: int
+    heard_s: float
+    connection: KeeperConnection | None = None
+    closed: bool = False
+    hold_s: float = 0.0  # its notifications are told so much later
+    lose_reply: bool = False  # of its next write: the connection ends instead, and the write has been done
+    told: int = 0  # notifications
+    cut: str = ""  # "in": nothing that its client says arrives, on any connection; "out"; "both"
+
+
+@dataclass(slots=True)
+class Counts:
+    connects: int = 0
+    refused: int = 0
+    requests: int = 0
+    notifications: int = 0
+    expired: int = 0
+
+
+class Ensemble:
+    """`clock` is in seconds and only moves forward."""
+
+    def __init__(
+        self, servers: int = 3, seed: int = 0, clock: Callable[[], float] = time.monotonic,
+        timeouts_ms: tuple[int, int] = (200, 40_000),
+    ) -> None:  # fmt: skip
+        self.dice = random.Random(f"{seed}/keeper")
+        self.clock, self.timeouts_ms = clock, timeouts_ms
+        self.epoch, self.counter = 1, 0
+        self.tree = Tree()  # the leader's
+        self.log: list[Change] = []
+        self.sessions: dict[int, Session] = {}
+        self.has_leader = True
+        self.read_only = False  # servers serve reads while there is no leader
+        self.servers = [KeeperServer(self, number) for number in range(servers)]
+        self.counts = Counts()
+        self.ticker: asyncio.TimerHandle | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        for server in self.servers:
+            await server.start()
+        self.tick()
+
+    @property
+    def hosts(self) -> str:
+        """As clients are given it: host:port,host:port"""
+        return ",".join(f"{server.address[0]}:{server.address[1]}" for server in self.servers)
+
+    def close(self) -> None:
+        if self.ticker is not None:
+            self.ticker.cancel()
+        for task in self.tasks:
+            task.cancel()
+        for server in self.servers:
+            server.stop()
+
+    # Sessions
+
+    def tick(self) -> None:
+        """Expire who has not been heard for its timeout."""
+        self.ticker = asyncio.get_running_loop().call_later(0.02, self.tick)
+        if not self.has_leader:
+            return
+        now_s = self.clock()
+        for session in list(self.sessions.values()):
+            if now_s - session.heard_s > session.timeout_ms / 1000:
+                self.expire(session.id)
+
+    def open_session(self, timeout_ms: int, server: int) -> Session:
+        least, most = self.timeouts_ms
+        id_ = (server + 1) << 56 | self.dice.getrandbits(48) << 4
+        made = Session(id_, self.dice.randbytes(16), min(max(timeout_ms, least), most), self.clock())
+        self.sessions[id_] = made
+        self.commit(())
+        return made
+
+    def expire(self, session: int) -> None:
+        """End a session as its timeout does: its ephemeral nodes go, and its connection is closed."""
+        found = self.sessions.get(session)
+        if found is None:
+            return
+        self.counts.expired += 1
+        self.end_session(found, expired=True)
+        if found.connection is not None:
+            found.connection.close()
+
+    def end_session(self, session: Session, expired: bool = False) -> Change:
+        session.closed = True
+        self.sessions.pop(session.id, None)
+        return self.commit((), SessionClosed(session.id, expired))
+
+    # Changes
+
+    def commit(self, steps: tuple[Step, ...], closed: SessionClosed | None = None) -> Change:
+        if len(self.log) >= LOG_LIMIT:
+            raise KeeperError(Code.SYSTEM_ERROR)
+        self.counter += 1
+        change = Change(self.epoch << 32 | self.counter, int(time.time() * 1000), steps, closed)
+        self.tree.apply(change)
+        self.log.append(change)
+        for server in self.servers:
+            server.hear_of(change)
+        return change
+
+    # Faults
+
+    def lose_leader(self, for_s: float) -> None:
+        """No service until one is elected; then sessions have their whole timeout again."""
+        self.has_leader = False
+        for server in self.servers:
+            server.drop_connections()
+
+        def elect() -> None:
+            self.has_leader = True
+            self.epoch, self.counter = self.epoch + 1, 0
+            for session in self.sessions.values():
+                session.heard_s = self.clock()
+            for server in self.servers:
+                server.drop_connections()  # those that were served read-only
+
+        asyncio.get_running_loop().call_later(for_s, elect)
+
+    def stop(self) -> None:
+        """The whole ensemble is gone: connections are reset and new ones refused."""
+        self.has_leader = False
+        for server in self.servers:
+            server.stop()
+
+    async def come_back(self, lost: int = 0) -> None:
+        """Start again, having lost the last changes: zxids go back, sessions that were opened since are unknown."""
+        if lost:
+            kept = self.log[:-lost]
+            self.log, self.tree = [], Tree()
+            for server in self.servers:
+                server.tree, server.applied = Tree(), 0
+            for change in kept:
+                self.tree.apply(change)
+            self.log = kept
+            self.counter = kept[-1].zxid & 0xFFFFFFFF if kept else 0
+            self.epoch = kept[-1].zxid >> 32 if kept else 1
+        for session in self.sessions.values():
+            session.heard_s = self.clock()
+        self.has_leader = True
+        for server in self.servers:
+            server.watches = Watches()
+            server.catch_up()
+            await server.start()
+
+    def sever(self, session: int, how: str = "reset") -> None:
+        """End a session's connection ("reset"), or silence its client one way or both: "in", "out", "both".
+
+        Silence holds for its later connections too, until it is mended with "".
+        """
+        found = self.sessions.get(session)
+        if found is None:
+            return
+        if how != "reset":
+            found.cut = how
+        elif found.connection is not None:
+            found.connection.close()
+
+
+class KeeperServer:
+    def __init__(self, ensemble: Ensemble, number: int) -> None:
+        self.ensemble, self.number = ensemble, number
+        self.tree = Tree()
+        self.applied = 0  # changes of the log
+        self.watches = Watches()
+        self.lag_s = 0.0
+        self.server: asyncio.Server | None = None
+        self.address: Address = ("127.0.0.1", 0)
+        self.connections: set[KeeperConnection] = set()
+        self.waiting: list[tuple[int, asyncio.Future[None]]] = []  # for the replica to reach a zxid
+
+    async def start(self) -> None:
+        if self.server is None:
+            loop = asyncio.get_running_loop()
+            self.server = await loop.create_server(
+                lambda: KeeperConnection(self), *self.address, reuse_address=True, backlog=512
+            )
+            self.address = self.server.sockets[0].getsockname()
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        self.drop_connections()
+
+    def drop_connections(self) -> None:
+        for connection in list(self.connections):
+            connection.close()
+
+    @property
+    def serves(self) -> bool:
+        return self.ensemble.has_leader or self.ensemble.read_only
+
+    # The replica
+
+    def hear_of(self, change: Change) -> None:
+        if self.lag_s:
+            asyncio.get_running_loop().call_later(self.lag_s, self.catch_up, change.zxid)
+        else:
+            self.catch_up()
+
+    def catch_up(self, zxid: int | None = None) -> None:
+        """Apply the log, up to this zxid; whoever watches hears of it before anybody can read it."""
+        log = self.ensemble.log
+        while self.applied < len(log) and (zxid is None or log[self.applied].zxid <= zxid):
+            change = log[self.applied]
+            self.applied += 1
+            for watcher, event in self.watches.trigger(self.tree.apply(change)):
+                cast(KeeperConnection, watcher).notify(event)
+        still = []
+        for wanted, future in self.waiting:
+            if self.tree.zxid < wanted:
+                still.append((wanted, future))
+            elif not future.done():
+                future.set_result(None)
+        self.waiting = still
+
+    async def reach(self, zxid: int) -> None:
+        if self.tree.zxid < zxid:
+            future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self.waiting.append((zxid, future))
+            await future
+
+
+@dataclass(eq=False)
+class KeeperConnection(asyncio.Protocol):
+    server: KeeperServer
+    transport: asyncio.Transport | None = None
+    session: Session | None = None
+    read_only: bool = False
+    deframer: Deframer = field(default_factory=Deframer)
+    ids: list[tuple[str, str]] = field(default_factory=list)
+    queue: asyncio.Queue[bytes] = field(default_factory=asyncio.Queue)
+    worker: asyncio.Task[None] | None = None
+    first: bytes = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+        self.server.ensemble.counts.connects += 1
+        if not self.server.serves:
+            self.close()
+            return
+        self.worker = asyncio.get_running_loop().create_task(self.work())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.server.connections.discard(self)
+        self.server.watches.forget(self)
+        if self.worker is not None:
+            self.worker.cancel()
+        if self.session is not None and self.session.connection is self:
+            self.session.connection = None
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if self.session is not None and self.session.cut in ("in", "both"):
+            return
+        if self.session is None and len(self.first) < 4:
+            self.first += data
+            if len(self.first) < 4:
+                return
+            data = self.first
+            if data[:4] in WORDS:
+                self.say_word(data[:4])
+                return
+        try:
+            for message in self.deframer.feed(data):
+                self.queue.put_nowait(message)
+        except JuteError:
+            self.close()
+            return
+        if self.queue.qsize() > PIPELINE and self.transport is not None:
+            self.transport.pause_reading()
+
+    def say_word(self, word: bytes) -> None:
+        assert self.transport is not None
+        mode = b"leader\n" if self.server.number == 0 else b"follower\n"
+        self.transport.write(WORDS[word] + (mode if word == b"srvr" else b""))
+        self.transport.close()
+
+    def send(self, payload: bytes) -> None:
+        mute = self.session is not None and self.session.cut in ("out", "both")
+        if self.transport is not None and not mute and not self.transport.is_closing():
+            self.transport.write(frame(payload))
+
+    def notify(self, event: Event) -> None:
+        session = self.session
+        if session is None:
+            return
+        session.told += 1
+        self.server.ensemble.counts.notifications += 1
+        data = WatcherEvent(event[0], event[1]).encode()
+        if session.hold_s:
+            asyncio.get_running_loop().call_later(session.hold_s, self.send, data)
+        else:
+            self.send(data)
+
+    # Requests, in order
+
+    async def work(self) -> None:
+        try:
+            self.connect(ConnectRequest.decode(await self.queue.get()))
+            while self.transport is not None:
+                message = await self.queue.get()
+                if self.queue.qsize() <= PIPELINE // 2 and self.transport is not None:
+                    self.transport.resume_reading()
+                await self.handle(message)
+        except JuteError:
+            self.close()  # what can't be read gets a close, never a hang
+
+    def connect(self, request: ConnectRequest) -> None:
+        ensemble, server = self.server.ensemble, self.server
+        if request.last_zxid > server.tree.zxid:
+            ensemble.counts.refused += 1
+            self.close()  # it has seen more than this server: another one will do
+            return
+        if not ensemble.has_leader:
+            if not request.read_only:
+                ensemble.counts.refused += 1
+                self.close()
+                return
+            self.read_only = True
+        if request.session:
+            session = ensemble.sessions.get(request.session)
+            if session is None or session.password != request.password:
+                ensemble.counts.refused += 1
+                self.send(NO_SESSION.encode())
+                if self.transport is not None:
+                    self.transport.close()
+                return
+            if session.cut in ("in", "both"):
+                return  # it says so, and nobody hears it
+        elif self.read_only:
+            least, most = ensemble.timeouts_ms
+            timeout_ms = min(max(request.timeout_ms, least), most)
+            session = Session(ensemble.dice.getrandbits(48), ensemble.dice.randbytes(16), timeout_ms, 0.0)
+        else:
+            session = ensemble.open_session(request.timeout_ms, server.number)
+        session.heard_s = ensemble.clock()
+        self.session, session.connection = session, self
+        read_only = None if request.read_only is None else self.read_only
+        self.send(ConnectResponse(session.timeout_ms, session.id, session.password, read_only).encode())
+
+    async def handle(self, message: bytes) -> None:
+        ensemble, session = self.server.ensemble, self.session
+        if session is None:
+            return
+        xid, request = decode_request(message)
+        ensemble.counts.requests += 1
+        if session.closed:
+            self.close()
+            return
+        if session.connection is not self:
+            self.reply(xid, Code.SESSION_MOVED)
+            self.close()
+            return
+        session.heard_s = ensemble.clock()
+        if isinstance(request, int):
+            self.reply(xid, Code.UNIMPLEMENTED)
+            return
+        try:
+            if is_write(request.op):
+                await self.write(xid, request, session)
+            else:
+                body = await self.read(request)
+                if request.op is not Op.SET_WATCHES and request.op is not Op.SET_WATCHES2:
+                    self.reply(xid, Code.OK, body)
+                if isinstance(request, SetWatches):
+                    self.reply(xid, Code.OK)
+        except KeeperError as error:
+            self.reply(xid, error.code, multi_failed(request, error) if isinstance(request, Multi) else b"")
+            if error.code is Code.AUTH_FAILED and self.transport is not None:
+                self.transport.close()
+
+    def reply(self, xid: int, code: Code, body: bytes = b"") -> None:
+        err = Code.OK if body and code is not Code.OK else code  # a multi that failed tells so in its body
+        self.send(ReplyHeader(xid, self.server.tree.zxid, err).encode(body))
+
+    async def write(self, xid: int, request: Request, session: Session) -> None:
+        ensemble = self.server.ensemble
+        if self.read_only:
+            raise KeeperError(Code.NOT_READ_ONLY)
+        if isinstance(request, Bare):  # the session is closed
+            change = ensemble.end_session(session)
+            await self.server.reach(change.zxid)
+            self.reply(xid, Code.OK)
+            if self.transport is not None:
+                self.transport.close()
+            return
+        assert isinstance(request, Multi | SetAcl | Create | SetData) or request.op in (Op.DELETE, Op.CHECK)
+        steps = ensemble.tree.prepare(request, session.id, self.ids)  # type: ignore[arg-type]
+        change = ensemble.commit(steps)
+        if session.lose_reply:
+            session.lose_reply = False
+            self.close()
+            return
+        await self.server.reach(change.zxid)
+        if isinstance(request, Multi):
+            to = Writer()
+            for one, step in zip(request.ops, steps, strict=True):
+                to.int32(one.op).boolean(False).int32(Code.OK)
+                to.raw(self.done(one, step))
+            self.reply(xid, Code.OK, to.int32(-1).boolean(True).int32(-1).data)
+        else:
+            self.reply(xid, Code.OK, self.done(request, steps[0]))
+
+    def done(self, request: Request, step: Step) -> bytes:
+        """What a write is answered with, as this server has it."""
+        to, tree = Writer(), self.server.tree
+        if isinstance(step, Created):
+            to.text(step.path)
+            if request.op in (Op.CREATE2, Op.CREATE_CONTAINER) and step.path in tree.nodes:
+                tree.node(step.path).full_stat().write(to)
+        elif isinstance(request, SetData | SetAcl) and request.path in tree.nodes:
+            tree.node(request.path).full_stat().write(to)
+        return to.data
+
+    async def read(self, request: Request) -> bytes:
+        tree, watches, to = self.server.tree, self.server.watches, Writer()
+        match request:
+            case Bare():
+                pass  # a ping: that it was heard is all
+            case Auth():
+                self.authenticate(request)
+            case Read(path=path):
+                self.check_path(path)
+                self.read_node(request, to)
+            case OnPath(path=path, op=Op.SYNC):
+                self.check_path(path)
+                await self.server.reach(self.server.ensemble.tree.zxid)
+                to.text(path)
+            case OnPath(path=path, op=Op.GET_EPHEMERALS):
+                assert self.session is not None
+                owned = tree.ephemerals.get(self.session.id, set())
+                to.vector(sorted(p for p in owned if p.startswith(path)), to.text)
+            case OnPath(path=path, op=Op.GET_ALL_CHILDREN_NUMBER):
+                tree.node(path)
+                prefix = path.rstrip("/") + "/"
+                to.int32(sum(p.startswith(prefix) and p != "/" for p in tree.nodes))
+            case OnPath(path=path):  # GET_ACL
+                node = tree.node(path)
+                to.vector(list(node.acl), lambda acl: acl.write(to))
+                node.full_stat().write(to)
+            case AddWatch(path=path, mode=mode) if mode in (0, 1):
+                self.check_path(path)
+                watches.add(self, Kind.RECURSIVE if mode else Kind.PERSISTENT, path)
+                to.int32(Code.OK)
+            case RemoveWatches():
+                self.remove_watches(request)
+            case SetWatches():
+                for event in watches.restore(self, request, tree):
+                    self.notify(event)
+            case _:
+                raise KeeperError(Code.BAD_ARGUMENTS)
+        return to.data
+
+    def check_path(self, path: str) -> None:
+        if not is_valid(path):
+            raise KeeperError(Code.BAD_ARGUMENTS)
+
+    def read_node(self, request: Read, to: Writer) -> None:
+        tree, watches = self.server.tree, self.server.watches
+        if request.op is Op.EXISTS:
+            if request.watch:
+                watches.add(self, Kind.DATA, request.path)  # of a node that is not yet there, too
+            tree.node(request.path).full_stat().write(to)
+            return
+        node = tree.node(request.path)
+        if not allows(node.acl, Perm.READ, self.ids):
+            raise KeeperError(Code.NO_AUTH)
+        if request.watch:
+            watches.add(self, Kind.DATA if request.op is Op.GET_DATA else Kind.CHILD, request.path)
+        if request.op is Op.GET_DATA:
+            to.buffer(node.data)
+        else:
+            to.vector(sorted(node.children), to.text)
+        if request.op is not Op.GET_CHILDREN:
+            node.full_stat().write(to)
+
+    def remove_watches(self, request: RemoveWatches) -> None:
+        kinds = {1: (Kind.CHILD,), 2: (Kind.DATA,), 3: tuple(Kind)}.get(request.type)
+        if kinds is None:
+            raise KeeperError(Code.BAD_ARGUMENTS)
+        watches = self.server.watches
+        if not watches.has(self, kinds, request.path):
+            raise KeeperError(Code.NO_WATCHER)
+        if request.op is Op.REMOVE_WATCHES:
+            for kind in kinds:
+                watches.remove(self, kind, request.path)
+
+    def authenticate(self, request: Auth) -> None:
+        user, mark, _ = request.auth.decode("utf-8", "replace").partition(":")
+        if request.scheme != "digest" or not mark:
+            raise KeeperError(Code.AUTH_FAILED)
+        digest = base64.b64encode(hashlib.sha1(request.auth).digest()).decode()
+        self.ids.append(("digest", f"{user}:{digest}"))
+
+
+def multi_failed(request: Multi, error: KeeperError) -> bytes:
+    """Every operation fails: the one that did by its code, those before it and after it for its sake."""
+    to = Writer()
+    for at in range(len(request.ops)):
+        before = Code.OK if at < error.at else Code.RUNTIME_INCONSISTENCY
+        code = error.code if at == error.at else before
+        to.int32(Op.ERROR).boolean(False).int32(code).int32(code)
+    return to.int32(-1).boolean(True).int32(-1).data
--- /dev/null
+++ b/standins/zookeeper/tree.py
@@ -0,0 +1,341 @@
+"""The nodes of the service and what changes them. Pure: times and zxids come from outside, no I/O.
+
+Invariants: a change is decided once, by `prepare` on the leader's tree, and applied as it was decided by every
+replica, so replicas that have applied the same changes are equal. A multi is one change. Nothing here knows a
+connection or a watch: `apply` returns what happened, and the watches of each server hear of it.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from standins.zookeeper.jute import (
+    OPEN_ACL,
+    SEQUENCE_DIGITS,
+    Acl,
+    Check,
+    Code,
+    Create,
+    Delete,
+    EventType,
+    Mode,
+    Multi,
+    Op,
+    Perm,
+    SetAcl,
+    SetData,
+    Stat,
+    Write,
+)
+
+Event = tuple[EventType, str]
+
+
+class KeeperError(Exception):
+    """A request that is answered with a code; in a multi, at which operation."""
+
+    def __init__(self, code: Code, at: int = 0) -> None:
+        super().__init__(code.name)
+        self.code, self.at = code, at
+
+
+@dataclass(slots=True)
+class Node:
+    data: bytes
+    acl: tuple[Acl, ...]
+    stat: Stat
+    children: set[str] = field(default_factory=set)
+
+    def full_stat(self) -> Stat:
+        return replace(self.stat, data_length=len(self.data), num_children=len(self.children))
+
+
+# What is decided and applied
+
+
+@dataclass(slots=True, frozen=True)
+class Created:
+    path: str
+    data: bytes
+    acl: tuple[Acl, ...]
+    owner: int
+
+
+@dataclass(slots=True, frozen=True)
+class Deleted:
+    path: str
+
+
+@dataclass(slots=True, frozen=True)
+class DataSet:
+    path: str
+    data: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class AclSet:
+    path: str
+    acl: tuple[Acl, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Checked:
+    """Of a multi: it was so."""
+
+    path: str
+
+
+@dataclass(slots=True, frozen=True)
+class SessionClosed:
+    session: int
+    expired: bool = False
+
+
+Step = Created | Deleted | DataSet | AclSet | Checked
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """One change of the whole: its zxid, when, and its steps; a closed session takes its ephemerals along."""
+
+    zxid: int
+    time_ms: int
+    steps: tuple[Step, ...] = ()
+    closed: SessionClosed | None = None
+
+
+def parent_of(path: str) -> str:
+    return path.rpartition("/")[0] or "/"
+
+
+def name_of(path: str) -> str:
+    return path.rpartition("/")[2]
+
+
+def is_valid(path: str) -> bool:
+    """Whether a node may have this path."""
+    if path == "/":
+        return True
+    if not path.startswith("/") or path.endswith("/"):
+        return False
+    parts = path[1:].split("/")
+    return all(part not in ("", ".", "..") for part in parts) and "\x00" not in path
+
+
+def allows(acl: Iterable[Acl], perm: Perm, ids: Iterable[tuple[str, str]]) -> bool:
+    """Whether an ACL grants this to somebody who is known by these (scheme, id) pairs."""
+    known = {("world", "anyone"), *ids}
+    return any(entry.perms & perm and (entry.scheme, entry.id) in known for entry in acl)
+
+
+class Tree:
+    """All nodes, as of `zxid`."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Node] = {"/": Node(b"", OPEN_ACL, Stat())}
+        self.ephemerals: dict[int, set[str]] = defaultdict(set)
+        self.zxid = 0
+
+    def node(self, path: str) -> Node:
+        node = self.nodes.get(path)
+        if node is None:
+            raise KeeperError(Code.NO_NODE)
+        return node
+
+    # Deciding
+
+    def prepare(
+        self, request: Write | SetAcl | Multi, session: int, ids: Iterable[tuple[str, str]] = ()
+    ) -> tuple[Step, ...]:
+        """The steps that a request comes to on this tree, which is left as it is; KeeperError where it fails."""
+        known = tuple(ids)
+        if not isinstance(request, Multi):
+            return (_Draft(self, session, known).step(request),)
+        draft, steps = _Draft(self, session, known), list[Step]()
+        for at, one in enumerate(request.ops):
+            try:
+                steps.append(draft.step(one))
+            except KeeperError as error:
+                raise KeeperError(error.code, at) from None
+        return tuple(steps)
+
+    # Applying
+
+    def apply(self, change: Change) -> list[Event]:
+        """Apply what was decided; returns what happened, in order, deletions of a closed session at the end."""
+        self.zxid = change.zxid
+        events: list[Event] = []
+        for step in change.steps:
+            events += self.apply_step(step, change)
+        if change.closed is not None:
+            # Sorted: every replica deletes in the same order.
+            for path in sorted(self.ephemerals.pop(change.closed.session, ()), reverse=True):
+                if path in self.nodes:
+                    events += self.apply_step(Deleted(path), change)
+        return events
+
+    def apply_step(self, step: Step, change: Change) -> list[Event]:
+        match step:
+            case Created(path, data, acl, owner):
+                stat = Stat(change.zxid, change.zxid, change.time_ms, change.time_ms, pzxid=change.zxid)
+                self.nodes[path] = Node(data, acl, replace(stat, ephemeral_owner=owner))
+                if owner:
+                    self.ephemerals[owner].add(path)
+                self.touch_parent(path, change).add(name_of(path))
+                return [(EventType.CREATED, path), (EventType.CHILDREN_CHANGED, parent_of(path))]
+            case Deleted(path):
+                node = self.nodes.pop(path)
+                owner = node.stat.ephemeral_owner
+                if owner and owner in self.ephemerals:
+                    self.ephemerals[owner].discard(path)
+                    if not self.ephemerals[owner]:
+                        del self.ephemerals[owner]
+                self.touch_parent(path, change).discard(name_of(path))
+                return [(EventType.DELETED, path), (EventType.CHILDREN_CHANGED, parent_of(path))]
+            case DataSet(path, data):
+                node = self.nodes[path]
+                node.data = data
+                node.stat = replace(
+                    node.stat, mzxid=change.zxid, mtime=change.time_ms, version=node.stat.version + 1
+                )
+                return [(EventType.DATA_CHANGED, path)]
+            case AclSet(path, acl):
+                node = self.nodes[path]
+                node.acl, node.stat = acl, replace(node.stat, aversion=node.stat.aversion + 1)
+                return []
+            case Checked():
+                return []
+
+    def touch_parent(self, path: str, change: Change) -> set[str]:
+        parent = self.nodes[parent_of(path)]
+        parent.stat = replace(parent.stat, cversion=parent.stat.cversion + 1, pzxid=change.zxid)
+        return parent.children
+
+
+class _Draft:
+    """The tree as it would be after the steps decided so far: what a multi's later operations see."""
+
+    def __init__(self, tree: Tree, session: int, ids: tuple[tuple[str, str], ...]) -> None:
+        self.tree, self.session, self.ids = tree, session, ids
+        self.changed: dict[str, Node | None] = {}  # None: deleted
+        self.count: dict[str, int] = {}  # of children, where that may have changed
+
+    def get(self, path: str) -> Node:
+        if path in self.changed:
+            node = self.changed[path]
+            if node is None:
+                raise KeeperError(Code.NO_NODE)
+            return node
+        return self.tree.node(path)
+
+    def own(self, path: str) -> Node:
+        """A copy that may be changed, but for its children: they are counted, not copied."""
+        node = self.get(path)
+        if path not in self.changed:
+            self.count[path] = len(node.children)
+            node = self.changed[path] = Node(node.data, node.acl, node.stat)
+        return node
+
+    def has(self, path: str) -> bool:
+        return self.changed[path] is not None if path in self.changed else path in self.tree.nodes
+
+    def need(self, node: Node, perm: Perm) -> None:
+        if not allows(node.acl, perm, self.ids):
+            raise KeeperError(Code.NO_AUTH)
+
+    def step(self, request: Write | SetAcl) -> Step:
+        if not is_valid(request.path) and not (isinstance(request, Create) and request.path.endswith("/")):
+            raise KeeperError(Code.BAD_ARGUMENTS)
+        match request:
+            case Create():
+                return self.create(request)
+            case Check():
+                node = self.get(request.path)
+                self.need(node, Perm.READ)
+                self.version(node, request.version)
+                return Checked(request.path)
+            case Delete():
+                return self.delete(request)
+            case SetData():
+                node = self.own(request.path)
+                self.need(node, Perm.WRITE)
+                self.version(node, request.version)
+                node.data, node.stat = request.data, replace(node.stat, version=node.stat.version + 1)
+                return DataSet(request.path, request.data)
+            case SetAcl():
+                node = self.own(request.path)
+                self.need(node, Perm.ADMIN)
+                if request.version not in (-1, node.stat.aversion):
+                    raise KeeperError(Code.BAD_VERSION)
+                return AclSet(request.path, self.fixed(request.acl))
+
+    def version(self, node: Node, wanted: int) -> None:
+        if wanted not in (-1, node.stat.version):
+            raise KeeperError(Code.BAD_VERSION)
+
+    def fixed(self, acl: tuple[Acl, ...]) -> tuple[Acl, ...]:
+        """An ACL with `auth` put into the ids that the session has; none at all is invalid."""
+        found: list[Acl] = []
+        for entry in acl:
+            if entry.scheme == "auth":
+                found += [Acl(entry.perms, scheme, id_) for scheme, id_ in self.ids]
+            elif entry.scheme in ("world", "digest", "ip"):
+                found.append(entry)
+            else:
+                raise KeeperError(Code.INVALID_ACL)
+        if not found:
+            raise KeeperError(Code.INVALID_ACL)
+        return tuple(found)
+
+    def create(self, request: Create) -> Created:
+        try:
+            mode = Mode(request.flags)
+        except ValueError:
+            raise KeeperError(Code.BAD_ARGUMENTS) from None
+        parent_path = parent_of(request.path)
+        if not is_valid(parent_path):
+            raise KeeperError(Code.BAD_ARGUMENTS)
+        parent = self.own(parent_path)
+        path = request.path
+        if mode.is_sequential:
+            path += f"{parent.stat.cversion:0{SEQUENCE_DIGITS}d}"
+        if path == "/" or not is_valid(path):
+            raise KeeperError(Code.NODE_EXISTS if path == "/" else Code.BAD_ARGUMENTS)
+        self.need(parent, Perm.CREATE)
+        if self.has(path):
+            raise KeeperError(Code.NODE_EXISTS)
+        if parent.stat.ephemeral_owner:
+            raise KeeperError(Code.NO_CHILDREN_FOR_EPHEMERALS)
+        acl = self.fixed(request.acl)
+        owner = self.session if mode.is_ephemeral else 0
+        self.count[parent_path] += 1
+        parent.stat = replace(parent.stat, cversion=parent.stat.cversion + 1)
+        self.count[path] = 0
+        self.changed[path] = Node(request.data, acl, Stat(ephemeral_owner=owner))
+        return Created(path, request.data, acl, owner)
+
+    def delete(self, request: Delete) -> Deleted:
+        if request.path == "/":
+            raise KeeperError(Code.BAD_ARGUMENTS)
+        node = self.get(request.path)
+        parent = self.own(parent_of(request.path))
+        self.need(parent, Perm.DELETE)
+        self.version(node, request.version)
+        if self.count.get(request.path, len(node.children)):
+            raise KeeperError(Code.NOT_EMPTY)
+        self.count[parent_of(request.path)] -= 1
+        parent.stat = replace(parent.stat, cversion=parent.stat.cversion + 1)
+        self.changed[request.path] = None
+        return Deleted(request.path)
+
+
+def is_write(op: Op) -> bool:
+    """Whether the leader decides it."""
+    return op in WRITES
+
+
+WRITES = frozenset(
+    {Op.CREATE, Op.CREATE2, Op.CREATE_CONTAINER, Op.DELETE, Op.SET_DATA, Op.SET_ACL, Op.MULTI, Op.CLOSE_SESSION}
+)
