--- /dev/null
+++ b/tests/test_membership_merge.py
@@ -0,0 +1,242 @@
+"""The merge of sources: any interleaving ends in what the last words imply; told gone is not not-known."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import random
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cloverkeel.membership.merge import GONE_KEPT, Change, Link, Member, Membership, Source, Status, one_for_each
+from cloverkeel.membership.nodes import DATA_LIMIT, NodeError, parse, render
+
+E, R = Source.EPHEMERAL, Source.REGISTRY
+S = 1_000_000
+
+
+def member(name: str = "a", **changes: object) -> Member:
+    return replace(Member(name, ("10.0.0.1", 80)), **changes)  # type: ignore[arg-type]
+
+
+def names(membership: Membership) -> list[str]:
+    return sorted(membership.members)
+
+
+def test_a_node_deleted_while_the_session_lives_is_told_at_once_also_for_all() -> None:
+    membership = Membership()
+    assert membership.whole_list(S, E, [member("a"), member("b")]).put == (member("a"), member("b"))
+    assert membership.told(2 * S, E, gone=["a"]).gone == (member("a"),)
+    assert membership.whole_list(3 * S, E, []).gone == (member("b"),)
+    assert names(membership) == []
+
+
+def test_a_lost_connection_tells_nothing_and_the_list_stands_with_its_age() -> None:
+    membership = Membership()
+    membership.link(S, E, Link.CONNECTED)
+    membership.whole_list(S, E, [member()])
+    for link in (Link.SUSPENDED, Link.LOST):
+        assert not membership.link(2 * S, E, link)
+        membership.confirm(5 * S, E)  # nothing that is not connected can be confirmed
+        assert names(membership) == ["a"] and membership.age_us(9 * S) == 8 * S
+    membership.link(9 * S, E, Link.CONNECTED)
+    membership.confirm(10 * S, E)
+    assert membership.age_us(10 * S) == 0 and membership.age_us(S) == 0  # a clock that stepped back
+    assert (membership.counts.suspended, membership.counts.lost) == (1, 1)
+
+
+def test_what_the_first_source_told_gone_does_not_come_back_from_an_old_list() -> None:
+    membership = Membership()
+    membership.known(0, [member("a"), member("b")])
+    membership.whole_list(S, R, [member("a"), member("b")])
+    membership.whole_list(S, E, [member("a"), member("b")])
+    assert membership.told(2 * S, E, gone=["a"]).gone == (member("a"),)
+    membership.link(3 * S, E, Link.LOST)
+    assert not membership.whole_list(4 * S, R, [member("a"), member("b")])
+    assert names(membership) == ["b"]
+    # A life that began after the word is another box, and the registry may tell of it.
+    fresh = member("a", since_ms=5_000)
+    assert membership.whole_list(6 * S, R, [fresh, member("b")]).put == (fresh,)
+
+
+def test_the_known_list_stands_until_some_source_has_given_a_whole_one() -> None:
+    membership = Membership()
+    assert membership.known(0, [member("a"), member("b")]).put
+    membership.told(S, E, [member("c")])
+    assert names(membership) == ["a", "b", "c"]
+    assert membership.whole_list(2 * S, R, [member("b")]).gone == (member("a"),)
+    assert names(membership) == ["b", "c"]
+
+
+def test_a_fleet_moves_from_one_source_to_the_other_without_a_gap() -> None:
+    fleet = [member(name) for name in "abc"]
+    there = Membership((R, E))
+    there.whole_list(S, R, fleet)
+    seen = [names(there)]
+    for box in fleet:  # agents start
+        there.told(2 * S, E, [replace(box, czxid=7)])
+        seen.append(names(there))
+    assert seen == [["a", "b", "c"]] * 4
+    moved = Membership((E, R))  # the order is turned round at a restart
+    moved.whole_list(3 * S, R, fleet)
+    moved.whole_list(3 * S, E, [replace(box, czxid=7) for box in fleet])
+    moved.link(4 * S, R, Link.LOST)  # the registry is switched off
+    assert names(moved) == ["a", "b", "c"]
+
+
+def test_a_box_that_registers_again_is_told_with_its_new_registration() -> None:
+    membership = Membership()
+    membership.whole_list(S, E, [member("a", czxid=5, since_ms=100)])
+    change = membership.whole_list(2 * S, E, [member("a", czxid=9, since_ms=100)])
+    assert [m.czxid for m in change.put] == [9] and not change.gone
+    assert membership.whole_list(3 * S, E, [member("a", czxid=9, since_ms=100)]) == Change()
+
+
+def test_two_agents_for_one_box_are_one_box() -> None:
+    old, new = member("a", since_ms=1, czxid=3), member("a", since_ms=1, czxid=4)
+    for order in itertools.permutations({"n1": old, "n2": new, "n3": member("b")}.items()):
+        assert one_for_each(dict(order)) == ({"a": new, "b": member("b")}, ["a"])
+    restarted = member("a", since_ms=9, czxid=2)  # a later start counts more than a later node
+    assert one_for_each({"n1": restarted, "n2": new})[0] == {"a": restarted}
+
+
+def test_what_is_kept_of_the_gone_is_bounded() -> None:
+    membership = Membership()
+    membership.told(S, E, gone=[f"s-{n}" for n in range(GONE_KEPT + 10)])
+    assert len(membership.words[E].gone) == GONE_KEPT
+
+
+@pytest.mark.parametrize("order", [(), (Source.KNOWN,), (E, E)])
+def test_an_order_that_makes_no_sense_is_refused(order: tuple[Source, ...]) -> None:
+    with pytest.raises(ValueError):
+        Membership(order)
+
+
+BOXES = ("a", "b", "c")
+MEMBERS = st.builds(
+    Member, st.sampled_from(BOXES), st.just(("10.0.0.1", 80)), st.sampled_from(Status),
+    since_ms=st.sampled_from([0, 500, 2_500, 10_000]), czxid=st.integers(1, 3),
+)  # fmt: skip
+EVENTS = st.one_of(
+    st.tuples(st.just("list"), st.lists(MEMBERS, max_size=3)),
+    st.tuples(st.just("put"), MEMBERS),
+    st.tuples(st.just("gone"), st.sampled_from(BOXES)),
+    st.tuples(st.just("link"), st.sampled_from(Link)),
+)
+
+
+def say(membership: Membership, now_us: int, source: Source, what: str, value: object) -> Change:
+    if what == "list":
+        return membership.whole_list(now_us, source, value)  # type: ignore[arg-type]
+    if what == "put":
+        return membership.told(now_us, source, [value])  # type: ignore[list-item]
+    if what == "gone":
+        return membership.told(now_us, source, gone=[value])  # type: ignore[list-item]
+    return membership.link(now_us, source, value)  # type: ignore[arg-type]
+
+
+def implied(words: dict[Source, list[tuple[int, str, object]]], known: list[Member]) -> dict[str, Member]:
+    """What the last words of each source imply, box by box, worked out by another way than the module's."""
+    found: dict[str, Member] = {}
+    listed = any(what == "list" for events in words.values() for _, what, _ in events)
+    for box in BOXES:
+        last: list[Member | int | None] = []
+        for source in (E, R):
+            word: Member | int | None = None
+            for at_us, what, value in words[source]:
+                if what == "list":
+                    mine = [m for m in value if m.name == box]  # type: ignore[attr-defined]
+                    word = mine[-1] if mine else at_us // 1000 if isinstance(word, Member) else word
+                elif what == "put" and value.name == box:  # type: ignore[attr-defined]
+                    word = value  # type: ignore[assignment]
+                elif what == "gone" and value == box:
+                    word = at_us // 1000
+            last.append(word)
+        mine = [m for m in known if m.name == box]
+        if not listed:
+            last.append(mine[-1] if mine else None)
+        before = itertools.takewhile(lambda word: not isinstance(word, Member), last)
+        told = [word for word in before if isinstance(word, int)]
+        first = next((word for word in last if isinstance(word, Member)), None)
+        if first is not None and (not told or first.since_ms > max(told)):
+            found[box] = first
+    return found
+
+
+@given(
+    st.lists(EVENTS, max_size=8), st.lists(EVENTS, max_size=8), st.lists(MEMBERS, max_size=3),
+    st.randoms(use_true_random=False),
+)  # fmt: skip
+@settings(max_examples=400, deadline=None, derandomize=True)
+def test_any_interleaving_ends_in_what_the_last_words_imply(
+    one: list[tuple[str, object]], other: list[tuple[str, object]], known: list[Member], dice: random.Random
+) -> None:
+    # Each source's events have their times; how the two are interleaved does not matter.
+    words = {
+        E: [((n + 1) * S, *event) for n, event in enumerate(one)],
+        R: [((n + 1) * S, *event) for n, event in enumerate(other)],
+    }
+    wanted = implied(words, known)
+    for _ in range(3):
+        membership, followed = Membership(), dict[str, Member]()
+        left: dict[Source, list[Any]] = {E: words[E][:], R: words[R][:], Source.KNOWN: [(0, "known", known)]}
+        while any(left.values()):
+            source = dice.choice([s for s in left if left[s]])
+            at_us, what, value = left[source].pop(0)
+            change = membership.known(0, known) if what == "known" else say(membership, at_us, source, what, value)
+            for gone in change.gone:
+                assert followed.pop(gone.name) == gone
+            followed |= {put.name: put for put in change.put}
+            assert followed == membership.members  # the changes told add up to the list
+        assert membership.members == wanted
+
+
+# Node data
+
+
+FULL = member("s-1", zone="kita-room", kind="small-2c", group=3, weight=1.5, since_ms=1_700_000_000_000)
+
+
+def test_data_reads_back_and_fields_that_are_not_known_pass() -> None:
+    assert parse(render(FULL)) == FULL and parse(render(FULL), 9) == replace(FULL, czxid=9)
+    more = json.loads(render(FULL)) | {"colour": "blue", "v": 1}
+    assert parse(json.dumps(more).encode()) == FULL
+    assert parse(b'{"v": 1, "name": "x", "address": "[::1]:80", "status": "DRAINING"}').address == ("::1", 80)
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"v": 2}, "v: expected 1, found 2"), ({"v": None}, "v: expected a whole number"),
+        ({"v": True}, "v: expected"),
+        ({"name": ""}, "name: expected 1 to 255"), ({"name": 3}, "name: expected a text, found '3'"),
+        ({"address": "10.0.0.1"}, "address: expected host:port"), ({"address": "h:99999"}, "address: expected host"),
+        ({"address": "h:0"}, "address: expected host"), ({"status": "GONE"}, "status: expected SERVING or DRAINING"),
+        ({"weight": 0}, "weight: expected a number above 0"), ({"weight": "1"}, "weight: expected a number above 0"),
+        ({"since_ms": -1}, "since_ms: expected Unix milli"), ({"since_ms": 1.5}, "since_ms: expected Unix milli"),
+        ({"group": []}, "group: expected a number or a text"), ({"zone": 1}, "zone: expected a text"),
+    ],
+)  # fmt: skip
+def test_bad_data_names_the_field_and_what_was_expected(change: dict[str, object], said: str) -> None:
+    with pytest.raises(NodeError) as error:
+        parse(json.dumps(json.loads(render(FULL)) | change).encode())
+    assert said in str(error.value)
+
+
+@pytest.mark.parametrize("data", [b"", b"{", b"[]", b"\xff", b"null", b"[" * 100_000, b" " * (DATA_LIMIT + 1)])
+def test_what_is_no_object_is_refused(data: bytes) -> None:
+    with pytest.raises(NodeError, match="data: expected"):
+        parse(data)
+
+
+@given(st.binary(max_size=300))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_any_bytes_are_a_member_or_a_clear_error(data: bytes) -> None:
+    try:
+        parse(data)
+    except NodeError as error:
+        assert "expected" in str(error)
