--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -1,6 +1,7 @@
 """Start, signals, exit; the commands.
 
     python -m cloverkeel            the gateway: LB_CONFIG names its configuration
+    python -m cloverkeel register   beside a box: keeps its ephemeral node
     python -m cloverkeel try ...    real gateways among stand-ins; `try --help` tells more
 """
 
@@ -25,7 +26,10 @@
         return run()
     if arguments[0] == "try":
         return _try(arguments[1:])
-    print(f"cloverkeel: {arguments[0]}: unknown command; expected try, or none for the gateway", file=sys.stderr)
+    if arguments[0] == "register":
+        return _register(arguments[1:])
+    said = "expected try or register, or none for the gateway"
+    print(f"cloverkeel: {arguments[0]}: unknown command; {said}", file=sys.stderr)
     return 2
 
 
@@ -39,6 +43,15 @@
     return play(arguments)
 
 
+def _register(arguments: Sequence[str]) -> int:
+    try:
+        from cloverkeel.membership.agent import main as register
+    except ModuleNotFoundError as error:
+        print(f"cloverkeel: register needs {error.name}: install the extra 'ephemeral'", file=sys.stderr)
+        return 2
+    return register(arguments)
+
+
 def run() -> int:
     early: list[int] = []  # SIGHUP before the loop runs: the file may have been read by then
     signal.signal(signal.SIGHUP, lambda signum, frame: early.append(signum))
