--- a/standins/auditor.py
+++ b/standins/auditor.py
@@ -283,18 +283,26 @@
 
     def is_of_the_dead(self, earlier: Run, run: Run) -> bool:
         """Whether it was sent by a process that was killed since: what that held is the client's to ask again."""
-        life = self.life(earlier.gateway, earlier.at_us)
+        life = self.life(self.sender(earlier), earlier.at_us)
         if life is None or life.kill_us > run.at_us:
             return False
-        return life is not self.life(run.gateway, run.at_us)
+        return life is not self.life(self.sender(run), run.at_us)
+
+    def sender(self, run: Run) -> str:
+        """The gateway that sent it: the link told, or else it is the one that had been asked."""
+        if run.gateway:
+            return run.gateway
+        before = [asked for asked in self.asked.get(run.id, []) if asked.at_us <= run.at_us]
+        return before[-1].gateway if before else ""
 
     # 3. Drains hold
 
     def judge_drain(self, run: Run) -> None:
-        life = self.life(run.gateway, run.at_us)
+        gateway = self.sender(run)
+        life = self.life(gateway, run.at_us)
         since_us = life.start_us if life is not None else 0
         bad_us: int | None = None
-        for told in self.told.get((run.gateway, run.box), ()):
+        for told in self.told.get((gateway, run.box), ()):
             if told.at_us > run.at_us:
                 break
             if told.at_us < since_us:
@@ -308,7 +316,7 @@
         limit_us = bad_us + self.rules.grace_us + self.rules.slack_us
         late_us = run.at_us - limit_us
         if late_us > 0 and late_us > self.lag_us(limit_us - self.rules.slack_us, run.at_us):
-            what = f"{run.box} was sent it {(run.at_us - bad_us) / 1e6:.3f} s after {run.gateway} was told"
+            what = f"{run.box} was sent it {(run.at_us - bad_us) / 1e6:.3f} s after {gateway} was told"
             self.about(run.id, "drain", run.at_us, what)
 
     # 4. Cold hosts are spared
@@ -363,7 +371,7 @@
             for moment_us, text in ((run.whole_us, "came whole"), (run.began_us, "began"), (run.over_us, run.how)):
                 if moment_us:
                     lines.append((moment_us, f"{at}: {text}"))
-            for told in self.told.get((run.gateway, run.box), ()):
+            for told in self.told.get((self.sender(run), run.box), ()):
                 if told.at_us <= run.at_us and told.at_us > run.at_us - 10_000_000:
                     lines.append((told.at_us, f"registry: told {told.gateway} that {told.box} is {told.status}"))
         for final in self.finals.get(id_, []):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -51,6 +51,7 @@
     ledger: Ledger
     on_ready: Callable[[Gateway], None] = lambda gateway: None
     on_exit: Callable[[Gateway], None] = lambda gateway: None
+    environment: dict[str, str] = field(default_factory=dict)
     command: tuple[str, ...] = (sys.executable, "-m", "cloverkeel")
     port: int = 0
     process: subprocess.Popen[bytes] | None = None
@@ -87,7 +88,7 @@
         self.asked, self.stopped, self.is_over = False, False, False
         self.ledger.add(Process(now_us(), self.name, "start"))
         self.process = subprocess.Popen(
-            self.command, cwd=ROOT, env=os.environ | {"LB_CONFIG": str(self.file)},
+            self.command, cwd=ROOT, env=os.environ | {"LB_CONFIG": str(self.file)} | self.environment,
             stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log, preexec_fn=_die_with_parent,
         )  # fmt: skip
         self.spawn(self.follow(self.process))
--- a/standins/play.py
+++ b/standins/play.py
@@ -68,6 +68,9 @@
     async def build(self) -> None:
         for number in range(self.scenario.boxes):
             await self.add_box(f"s-{number}", number % len(ROOMS), cold=False, lag_s=None)
+        await self.build_registry()
+
+    async def build_registry(self) -> None:
         for gateway in self.gateways:
             name = gateway.name
             self.views[name] = await self.registry.open(name, self.address_for(name), self.gate(name))
@@ -457,8 +460,13 @@
     scenario: Scenario, seed: int, seconds: float | None = None, on_world: Callable[[World], None] | None = None
 ) -> World:
     """Play a scenario in a folder of its own, which is removed after; the world has the ledger."""
+    made: type[World] = World
+    if scenario.membership == "ephemeral":
+        from standins.keeper_play import EphemeralWorld
+
+        made = EphemeralWorld
     with tempfile.TemporaryDirectory(prefix="cloverkeel-try-") as folder:
-        world = World(scenario, seed, seconds or scenario.seconds, Path(folder))
+        world = made(scenario, seed, seconds or scenario.seconds, Path(folder))
         if on_world is not None:
             on_world(world)
         await world.play()
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -72,17 +72,27 @@
     },
     "rude": {"for": SECONDS, "rate": _number(0.1, 500), "kind": TEXT},
     "surge": {"for": SECONDS, "factor": _number(0.1, 20)},
+    # with membership = "ephemeral" alone
+    "expire": {"boxes": BOXES, "for": SECONDS},
+    "keeper_leader": {"for": SECONDS},
+    "keeper_down": {"for": SECONDS, "lost": _whole(0, 100)},
 }  # fmt: skip
 NEEDED = {
     "crash": ("for",), "hang": ("for",), "silent": ("for",), "drain": ("for",), "slow": ("for",),
     "errors": ("for",), "spoil": ("for",), "late": ("for",), "reset": ("for",), "shrink": ("boxes", "for"),
     "take_address": ("for",), "pause": ("for",), "registry_down": ("for",), "registry_garbled": ("for",),
     "partition": ("one", "other", "for"), "slow_network": ("one", "other", "for"), "rude": ("for",),
-    "surge": ("for", "factor"),
-}  # fmt: skip
+    "surge": ("for", "factor"), "expire": ("for",), "keeper_leader": ("for",), "keeper_down": ("for",),
+}
+OF_THE_REGISTRY = (
+    "registry_down", "registry_garbled", "registry_back", "registry_moves", "partition", "slow_network",
+    "take_address",
+)  # fmt: skip
+OF_THE_KEEPER = ("expire", "keeper_leader", "keeper_down")  # fmt: skip
 FLEET: dict[str, tuple[str, Check]] = {
     "boxes": _whole(1, 64), "gateways": _whole(1, 64), "shelves": _whole(1, 16), "cores": _whole(1, 16),
     "load": _number(0.01, 3.0), "cold_share": _number(0.05, 1.0), "warm_s": _number(0.1, 60),
+    "membership": _one_of("registry", "ephemeral"),
 }  # fmt: skip
 TOP: dict[str, tuple[str, Check]] = {
     "about": TEXT,
@@ -111,6 +121,7 @@
     load: float = 0.5  # share of what the boxes can do when warm
     cold_share: float = 0.35
     warm_s: float = 6.0
+    membership: str = "registry"
     troubles: tuple[Trouble, ...] = field(default=())
 
 
@@ -153,7 +164,13 @@
         _trouble(f"{where}: trouble {n}", trouble, seconds) for n, trouble in enumerate(raw.get("trouble", []), 1)
     )
     boxes = fleet.get("boxes", USUAL_BOXES)
+    membership = fleet.get("membership", "registry")
     for number, trouble in enumerate(troubles, 1):
+        if trouble.do in (OF_THE_KEEPER if membership == "registry" else OF_THE_REGISTRY):
+            raise ScenarioError(
+                f"{where}: trouble {number}: do: expected one that goes with membership = {membership!r},"
+                f" found {trouble.do!r}"
+            )
         if trouble.keys.get("boxes", 1) > boxes and trouble.do != "join":
             raise ScenarioError(
                 f"{where}: trouble {number} ({trouble.do}): boxes: expected at most the fleet's {boxes},"
--- a/standins/zookeeper/ensemble.py
+++ b/standins/zookeeper/ensemble.py
@@ -27,6 +27,7 @@
     ConnectResponse,
     Create,
     Deframer,
+    EventType,
     JuteError,
     Multi,
     OnPath,
@@ -104,6 +105,8 @@
         self.read_only = False  # servers serve reads while there is no leader
         self.servers = [KeeperServer(self, number) for number in range(servers)]
         self.counts = Counts()
+        # Called as something is written to a client: its connection, the kind, the path, and what it is told.
+        self.on_told: Callable[[KeeperConnection, Op | EventType, str, list[str] | bytes | None], None] | None = None
         self.ticker: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -366,6 +369,8 @@
         if session is None:
             return
         session.told += 1
+        if self.server.ensemble.on_told is not None:
+            self.server.ensemble.on_told(self, event[0], event[1], None)
         self.server.ensemble.counts.notifications += 1
         data = WatcherEvent(event[0], event[1]).encode()
         if session.hold_s:
@@ -543,6 +548,9 @@
                 watches.add(self, Kind.DATA, request.path)  # of a node that is not yet there, too
             tree.node(request.path).full_stat().write(to)
             return
+        on_told = self.server.ensemble.on_told
+        if request.path not in tree.nodes and on_told is not None:
+            on_told(self, request.op, request.path, None)
         node = tree.node(request.path)
         if not allows(node.acl, Perm.READ, self.ids):
             raise KeeperError(Code.NO_AUTH)
@@ -552,6 +560,9 @@
             to.buffer(node.data)
         else:
             to.vector(sorted(node.children), to.text)
+        if on_told is not None:
+            found = node.data if request.op is Op.GET_DATA else sorted(node.children)
+            on_told(self, request.op, request.path, found)
         if request.op is not Op.GET_CHILDREN:
             node.full_stat().write(to)
 
--- a/tests/test_try.py
+++ b/tests/test_try.py
@@ -17,7 +17,7 @@
 
 from standins.auditor import audit
 from standins.fleet import ROOT
-from standins.ledger import Answered, Asked, Ledger, Lag, Run, Wanted
+from standins.ledger import Answered, Asked, BoxDown, Lag, Ledger, Run, Told, Wanted
 from standins.play import World, play
 from standins.scenario import ACTIONS, ScenarioError, load, names, parse
 from standins.summary import quantile, summarise
@@ -58,6 +58,7 @@
         ('about = "a"\n[[trouble]]\nat = 99\ndo = "hang"\nfor = 1', "at: expected a number from 0 to 60, found 99"),
         ('about = "a"\n[[trouble]]\nat = 1\ndo = "hang"\nfor = 1\nboxes = 9', "expected at most the fleet's 6"),
         ('about = "a"\n[[trouble]]\nat = 1\ndo = "registry_down"\nfor = 1\nhow = "x"', "expected one of '503'"),
+        ('about = "a"\n[[trouble]]\nat = 1\ndo = "expire"\nfor = 1', "goes with membership = 'registry', found 'exp"),
         ('about = "a"\ntrouble = 3', "x.toml: trouble: expected a list of tables"),
         ('about = "a"\ntrouble = [3]', "x.toml: trouble 1: expected a table, found 3"),
     ],
@@ -160,6 +161,43 @@
     assert again.returncode == 1 and "served with what no box made for it" in again.stdout
 
 
+def test_ephemeral_membership_is_played_too() -> None:
+    text = """
+about = "Sessions end, and the service is lost during restarts"
+seconds = 8
+[fleet]
+membership = "ephemeral"
+boxes = 4
+gateways = 2
+load = 0.25
+[[trouble]]
+at = 0.5
+do = "expire"
+for = 3
+[[trouble]]
+at = 3.5
+do = "keeper_down"
+for = 3
+[[trouble]]
+at = 4
+do = "wave"
+share = 1.0
+over = 1
+at_once = 0.5
+"""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        world = runner.run(play(parse(text, "sessions", "sessions"), 3))
+    assert not audit(world.ledger, world.rules)
+    ended = [down for down in world.ledger.of(BoxDown) if down.how == "expired"]
+    assert len(ended) == 1
+    box, since_us = ended[0].box, ended[0].at_us - 100_000
+    told = [entry for entry in world.ledger.of(Told) if entry.box == box and entry.at_us >= since_us]
+    assert {entry.status for entry in told} == {"DELETED", "SERVING"}  # gone at once, and back
+    served = [a for a in world.ledger.of(Answered) if a.status == 200]
+    assert len(served) > 0.9 * sum(1 for _ in world.ledger.of(Asked))  # none was empty, the service being lost
+    assert all(gateway.exits == [0, 0] for gateway in world.gateways)
+
+
 CARELESS = """
 about = "Answers are broken off"
 seconds = 4
