--- a/cloverkeel/membership/ephemeral.py
+++ b/cloverkeel/membership/ephemeral.py
@@ -29,7 +29,7 @@
 REFUSED_S = 5.0  # before what an ACL refuses is asked for again
 FIRST_RETRY_S, LAST_RETRY_S = 0.1, 2.0  # between reads that fail
 # Between connects that fail: doubled each time, spread over its whole length, so that a fleet does not come together.
-CONNECT = {"max_tries": -1, "delay": 0.2, "backoff": 2, "max_jitter": 1.0, "max_delay": 5.0}
+CONNECT = {"max_tries": -1, "delay": 0.5, "backoff": 2, "max_jitter": 0.5, "max_delay": 5.0}
 LINKS = {"CONNECTED": Link.CONNECTED, "SUSPENDED": Link.SUSPENDED, "LOST": Link.LOST}
 
 OnLink = Callable[[Link], None]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -209,19 +209,6 @@
             await asyncio.sleep(POLL_S)
         return False
 
-    async def wave(self, share: float, over_s: float, at_once: float, kill: bool = False) -> None:
-        """Restart this share of the gateways within so long, at most `at_once` of them (a share) together."""
-        chosen = list(self.gateways)[: max(1, round(share * len(self.gateways)))]
-        together = max(1, int(at_once * len(self.gateways)))
-        gate = asyncio.Semaphore(together)
-
-        async def one(gateway: Gateway, wait_s: float) -> None:
-            await asyncio.sleep(wait_s)
-            async with gate:
-                await gateway.restart(kill)
-
-        await asyncio.gather(*(one(g, over_s * n / len(chosen)) for n, g in enumerate(chosen)))
-
     async def stop(self, within_s: float = 6.0) -> None:
         """End all as a planned restart does, and wait."""
         for gateway in self.gateways:
--- a/standins/network.py
+++ b/standins/network.py
@@ -205,7 +205,7 @@
         self.listener: socket.socket | None = None
         self.fillers: list[socket.socket] = []
         self.address: Address = ("127.0.0.1", 0)
-        self.refusing = True
+        self.came: deque[int] = deque(maxlen=10_000)  # when connections came, to a target that was there or not
 
     def open(self) -> None:
         """Listen; on the same port as before, if it did."""
@@ -217,7 +217,7 @@
         listener.listen(BACKLOG)
         listener.setblocking(False)
         self.address = listener.getsockname()
-        self.listener, self.refusing = listener, False
+        self.listener = listener
         asyncio.get_running_loop().add_reader(listener.fileno(), self.accept)
         if any(conditions.cut for conditions in self.conditions):
             self.bar()
@@ -242,6 +242,7 @@
 
     async def relay(self, accepted: socket.socket) -> None:
         loop, target, flow = asyncio.get_running_loop(), self.target(), Flow(self)
+        self.came.append(now_us())
         self.flows.add(flow)
         try:
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
