Membership keeps its last list for the next start; all sessions ended at once

Need: a box told gone before the service was lost came back at a restart with the list known from before; and a fleet whose sessions all end at once must be whole again within a few seconds.

Change: state names a file that holds the last list, written off the loop and put in place as a whole; at a start it goes before known. What cannot be read or written is one line. try gains expire_all; relay.py measures the gateway with ephemeral membership too.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -22,8 +22,10 @@
 import uvloop
 
 from standins.fleet import Fleet, Gateway
-from standins.ledger import Ledger
+from standins.ledger import Ledger, Usage
 from standins.site import BoxKind, Rules, configuration, settings
+from standins.zookeeper.ensemble import Ensemble
+from standins.zookeeper.jute import Create
 
 MOST_FAILED = 0.01  # share of requests that are refused; more, and it is no measurement
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\nX-Load-Report: TEXT queue=1.2, latency_ms=51.0, qps=80\r\n\r\n"
@@ -142,12 +144,26 @@
         "gateway": (sys.executable, "-m", "cloverkeel"),
         "bare": (sys.executable, "-m", "benchmarks.bare"),
     }
+    keeper: Ensemble | None = None
+    if options.ephemeral:
+        # The same gateway once more, its list from ephemeral nodes.
+        keeper = Ensemble(1)
+        await keeper.start()
+        for path in ("/cloverkeel", "/cloverkeel/boxes"):
+            keeper.commit(keeper.tree.prepare(Create(path), 0))
+        for entry in known:
+            node = Create(f"/cloverkeel/boxes/{entry['name']}", json.dumps({"v": 1} | entry).encode())
+            keeper.commit(keeper.tree.prepare(node, 0))
+        (folder / "o.toml").write_text(f'[membership]\nprecedence = ["ephemeral"]\nhosts = "{keeper.hosts}"\n')
+        names["ephemeral"] = names["gateway"]
     if options.against is not None:
         names["other"] = ("sh", "-c", 'cd "$0" && exec "$1" -m cloverkeel', str(options.against), sys.executable)
     gateways = {}
     for number, (name, command) in enumerate(names.items()):
         pinned = ("taskset", "-c", str(cores[-1 - number])) if len(cores) > 4 else ()
         gateway = Gateway(name, 0, folder, lambda: {}, ledger, command=(*pinned, *command))
+        if name == "ephemeral":
+            gateway.environment = {"CLOVERKEEL_OPTIONS": str(folder / "o.toml")}
         gateway.configure = lambda gateway=gateway: configuration(  # type: ignore[misc]
             gateway.name, f"127.0.0.1:{gateway.port}", "127.0.0.1:9", "1", known, made
         )
@@ -173,6 +189,12 @@
                 costs = "   ".join(f"{name} {found[name]:6.1f} µs" for name in gateways)
                 print(f"{costs}   ratio {ratio:.2f}")
         await fleet.stop()
+    if keeper is not None:
+        keeper.close()
+        memory = {entry.gateway: entry.rss_kib / 1024 for entry in ledger.of(Usage)}
+        print("memory at the end: " + ", ".join(f"{name} {mib:.1f} MiB" for name, mib in memory.items()))
+        against = [found["ephemeral"] / found["gateway"] for found in rounds]
+        print(f"with ephemeral membership: {statistics.median(against):.3f} of the CPU without it")
     ratios = [found["gateway"] / found["bare"] for found in rounds]
     others = {"other_us": statistics.median(found["other"] for found in rounds)} if options.against else {}
     return others | {
@@ -191,6 +213,7 @@
     parser.add_argument("--answer-ms", type=float, default=10.0, help="what a host takes for an answer")
     parser.add_argument("--klass", choices=("search", "hold", "transfer"), default="search")
     parser.add_argument("--against", type=Path, metavar="DIR", help="another checkout of the gateway, measured too")
+    parser.add_argument("--ephemeral", action="store_true", help="measure it with ephemeral membership too")
     parser.add_argument("--json", type=Path)
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder, asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/cloverkeel/core/options.py
+++ b/cloverkeel/core/options.py
@@ -24,6 +24,7 @@
     session_ms: int = 4_000  # of the gateway's own session: asked for; the service has the last word
     spread_ms: int = 1_000  # a list is read again after a reconnect at a random moment within this
     precedence: tuple[str, ...] = ("ephemeral", "registry")
+    state: str = ""  # file that keeps the last list for the next start; "": none
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,7 +57,7 @@
     if not isinstance(table, dict):
         raise ConfigError(f"{where}: membership: expected a table, found {table!r}")
     where = f"{where}: membership"
-    _known(table, ("precedence", "hosts", "path", "session_ms", "spread_ms"), where)
+    _known(table, ("precedence", "hosts", "path", "session_ms", "spread_ms", "state"), where)
     precedence = table.get("precedence", list(SOURCES))
     if (
         not isinstance(precedence, list)
@@ -79,6 +80,9 @@
     parts = path[1:].split("/") if isinstance(path, str) and path.startswith("/") else [""]
     if any(part in ("", ".", "..") for part in parts):
         raise ConfigError(f"{where}: path: expected a path such as /cloverkeel/boxes, found {path!r}")
+    state = table.get("state", "")
+    if not isinstance(state, str) or (state and not os.path.isdir(os.path.dirname(os.path.abspath(state)))):
+        raise ConfigError(f"{where}: state: expected a file in a folder that exists, found {state!r}")
     return Options(
         Ephemeral(
             hosts,
@@ -86,6 +90,7 @@
             _whole(table, "session_ms", 4_000, 200, 60_000, where),
             _whole(table, "spread_ms", 1_000, 0, 10_000, where),
             tuple(precedence),
+            state,
         )
     )
 
--- a/cloverkeel/membership/merged.py
+++ b/cloverkeel/membership/merged.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any
 
 from caperdrift.interface import ListedServer, ListKind, ServerStatus
@@ -16,10 +17,12 @@
 from cloverkeel.core.log import log
 from cloverkeel.core.options import Ephemeral
 from cloverkeel.core.ports import Entry, OnList
+from cloverkeel.membership import state
 from cloverkeel.membership.ephemeral import EphemeralNodes
 from cloverkeel.membership.merge import Change, Link, Member, Membership, Source, Status
 from cloverkeel.membership.registry import Discovery, number_of, parse_list
 
+SAVE_S = 0.2  # after a change, for others that come with it
 REPORT_S = 10.0  # between lines on the log about membership, while something changes
 
 
@@ -44,11 +47,22 @@
     )  # fmt: skip
 
 
+def named(member: Member, names: Names) -> Member:
+    """With the names of what the registry has numbered: numbers may differ at the next start."""
+    zones = {number: name for name, number in names.zones.items()}
+    kinds = {number: name for name, number in names.kinds.items()}
+    zone = zones.get(member.zone, "") if isinstance(member.zone, int) else member.zone
+    kind = kinds.get(member.kind, "") if isinstance(member.kind, int) else member.kind
+    return replace(member, zone=zone, kind=kind)
+
+
 class MergedMembership:
     """As the core asks it of a Membership (core/ports.py), and as a reload asks it (core/reload.py)."""
 
     def __init__(self, options: Ephemeral, registry: Discovery | None, names: Names) -> None:
-        self.names, self.registry = names, registry
+        self.names, self.registry, self.state = names, registry, options.state
+        self.saving: asyncio.Task[None] | None = None
+        self.unsaved = False
         self.merge = Membership(tuple(Source(name) for name in options.precedence))
         self.on_list: OnList = lambda kind, entries: None
         self.nodes = EphemeralNodes(
@@ -70,7 +84,11 @@
         except (KeyError, TypeError, ValueError) as error:
             if raw:
                 log(f"the list known from before cannot be used: {error!r}")
-        change = self.merge.known(now_us(), map(member_of, entries))
+        # What this gateway wrote down itself is newer than what it is given at a start: a box that it was told
+        # gone must not come back with an old list.
+        kept = state.load(self.state) if self.state else None
+        known = [member_of(entry) for entry in entries] if kept is None else kept
+        change = self.merge.known(now_us(), known)
         kind = ListKind.DISK if self.registry is not None else ListKind.FULL
         self.on_list(kind, [entry_of(member, self.names) for member in change.put])
         self.nodes.start()
@@ -108,6 +126,24 @@
         gone = [entry_of(member, self.names, gone=True) for member in change.gone]
         self.on_list(ListKind.DELTA, gone + [entry_of(member, self.names) for member in change.put])
 
+        if self.state and change:
+            self.unsaved = True
+            if self.saving is None:
+                self.saving = asyncio.get_running_loop().create_task(self.save())
+
+    async def save(self) -> None:
+        """Off the loop, and once for several changes that come together."""
+        try:
+            while self.unsaved:
+                await asyncio.sleep(SAVE_S)
+                self.unsaved = False
+                members = [named(member, self.names) for member in self.merge.members.values()]
+                await asyncio.to_thread(state.save, self.state, members)
+        except OSError as error:
+            log(f"membership: {self.state} cannot be written: {error.strerror}")
+        finally:
+            self.saving = None
+
     # From the core
 
     def watch(self, on: bool) -> None:
@@ -145,5 +181,7 @@
         if self.reporter is not None:
             self.reporter.cancel()
         self.nodes.close()
+        if self.saving is not None:
+            self.saving.cancel()
         if self.registry is not None:
             self.registry.close()
--- a/standins/keeper_play.py
+++ b/standins/keeper_play.py
@@ -14,7 +14,7 @@
 
 from standins.box import Box
 from standins.fleet import ROOT, _die_with_parent
-from standins.ledger import BoxDown, Told, now_us
+from standins.ledger import BoxDown, Told, Trouble, now_us
 from standins.network import Address, TcpLink
 from standins.play import DRAINS_S, World
 from standins.scenario import Scenario
@@ -78,7 +78,8 @@
             self.hosts[gateway.name] = ",".join(f"{k.address[0]}:{k.address[1]}" for k in links)
             options = self.folder / f"{gateway.name}.toml"
             lines = ("[membership]", 'precedence = ["ephemeral"]', f'hosts = "{self.hosts[gateway.name]}"',
-                     f'path = "{FOLDER}"', "session_ms = 2000", "spread_ms = 200")  # fmt: skip
+                     f'path = "{FOLDER}"', "session_ms = 2000", "spread_ms = 200",
+                     f'state = "{self.folder / gateway.name}.boxes"')  # fmt: skip
             options.write_text("\n".join(lines) + "\n")
             gateway.environment = {"CLOVERKEEL_OPTIONS": str(options)}
         await super().build()
@@ -207,6 +208,20 @@
             await asyncio.sleep(0.002)
         self.ledger.add(BoxDown(now_us(), box.name, box.incarnation, "expired"))
 
+    async def do_expire_all(self) -> None:
+        """All sessions end at once, the gateways' too, and everybody is well."""
+        registered = set(self.keeper.tree.nodes[FOLDER].children)
+        for session in list(self.keeper.sessions):
+            self.keeper.expire(session)
+        begun_us = now_us()
+        while not registered <= self.keeper.tree.nodes[FOLDER].children:
+            if now_us() - begun_us > 20_000_000:
+                raise RuntimeError("not every box was registered again")
+            await asyncio.sleep(0.01)
+        text = f"every box is registered again after {(now_us() - begun_us) / 1e6:.2f} s"
+        self.ledger.add(Trouble(now_us(), text))
+        self.on_progress(text)
+
     async def do_keeper_leader(self, for_s: float) -> None:
         self.keeper.lose_leader(for_s)
         await asyncio.sleep(for_s)
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -74,6 +74,7 @@
     "surge": {"for": SECONDS, "factor": _number(0.1, 20)},
     # with membership = "ephemeral" alone
     "expire": {"boxes": BOXES, "for": SECONDS},
+    "expire_all": {},
     "keeper_leader": {"for": SECONDS},
     "keeper_down": {"for": SECONDS, "lost": _whole(0, 100)},
 }  # fmt: skip
@@ -88,7 +89,7 @@
     "registry_down", "registry_garbled", "registry_back", "registry_moves", "partition", "slow_network",
     "take_address",
 )  # fmt: skip
-OF_THE_KEEPER = ("expire", "keeper_leader", "keeper_down")  # fmt: skip
+OF_THE_KEEPER = ("expire", "expire_all", "keeper_leader", "keeper_down")  # fmt: skip
 FLEET: dict[str, tuple[str, Check]] = {
     "boxes": _whole(1, 64), "gateways": _whole(1, 64), "shelves": _whole(1, 16), "cores": _whole(1, 16),
     "load": _number(0.01, 3.0), "cold_share": _number(0.05, 1.0), "warm_s": _number(0.1, 60),
--- a/tests/test_membership_ephemeral.py
+++ b/tests/test_membership_ephemeral.py
@@ -218,6 +218,49 @@
     service.close()
 
 
+@on_loop
+async def test_a_box_told_gone_does_not_come_back_at_a_restart_without_the_service(tmp_path: Path) -> None:
+    service, file = Service(), tmp_path / "boxes.json"
+    known = [
+        {"name": f"s-{n}", "address": f"127.0.0.1:900{n + 1}", "zone": "b", "type": "m", "status": "SERVING"}
+        for n in range(3)
+    ]
+    for n in range(3):
+        service.register(f"s-{n}", f"127.0.0.1:900{n + 1}", zone="b", kind="m", since_ms=7)
+    async with gateway(service, config_of(known), state=str(file)) as program:
+        await until(lambda: program.discovery.nodes.counts.lists)
+        service.expire("s-1")
+        await until_listed(program, "s-0", "s-2")
+        await until(lambda: file.exists() and len(json.loads(file.read_text())["boxes"]) == 2)
+    service.call(service.ensemble.stop)
+    async with gateway(service, config_of(known), state=str(file)) as program:
+        assert sorted(listed(program)) == ["s-0", "s-2"]
+        assert listed(program)["s-0"].entry.zone == 1 and listed(program)["s-0"].entry.started_us == 7_000
+    for spoilt in ("{", "[]", '{"v": 2, "boxes": []}', '{"v": 1, "boxes": [3]}'):
+        file.write_text(spoilt)  # cannot be used: the list that is given serves
+        async with gateway(service, config_of(known), state=str(file)) as program:
+            assert len(listed(program)) == 3
+    service.close()
+
+
+@on_loop
+async def test_a_state_that_cannot_be_written_is_a_line_and_no_more(
+    tmp_path: Path, capfd: pytest.CaptureFixture[str]
+) -> None:
+    service = Service()
+    service.register("s-0", "127.0.0.1:9001")
+    (tmp_path / "boxes.json.new").mkdir()
+    async with gateway(service, state=str(tmp_path / "boxes.json")) as program:
+        await until_listed(program, "s-0")
+        said = ""
+        while "cannot be written" not in said:
+            said += capfd.readouterr().err
+            await asyncio.sleep(0.01)
+        service.register("s-1", "127.0.0.1:9002")
+        await until_listed(program, "s-0", "s-1")
+    service.close()
+
+
 @on_loop
 async def test_bad_data_leaves_out_that_box_alone(capfd: pytest.CaptureFixture[str]) -> None:
     service = Service()
@@ -495,6 +538,7 @@
         ('[membership]\nhosts = "h:1"\npath = "/a//b"', "path: expected a path such as /cloverkeel/boxes"),
         ('[membership]\nhosts = "h:1"\nsession_ms = 5', "session_ms: expected a whole number from 200 to 60000"),
         ('[membership]\nhosts = "h:1"\nprecedence = ["registry"]', "precedence: expected a list of 'ephemeral'"),
+        ('[membership]\nhosts = "h:1"\nstate = "/no/such/x"', "state: expected a file in a folder that exists"),
         ("[[", "o.toml: not TOML"),
     ],
 )
--- a/tests/test_try.py
+++ b/tests/test_try.py
@@ -17,6 +17,7 @@
 
 from standins.auditor import audit
 from standins.fleet import ROOT
+from standins.keeper_play import EphemeralWorld
 from standins.ledger import Answered, Asked, BoxDown, Lag, Ledger, Run, Told, Wanted
 from standins.play import World, play
 from standins.scenario import ACTIONS, ScenarioError, load, names, parse
@@ -39,8 +40,8 @@
     assert wanted <= set(names())
     for name in names():
         scenario = load(name)
-        assert scenario.about and all(hasattr(World, f"do_{trouble.do}") for trouble in scenario.troubles)
-    assert all(hasattr(World, f"do_{action}") for action in ACTIONS)
+        assert scenario.about and all(hasattr(EphemeralWorld, f"do_{t.do}") for t in scenario.troubles)
+    assert all(hasattr(EphemeralWorld, f"do_{action}") for action in ACTIONS)
 
 
 @pytest.mark.parametrize(
