--- a/cloverkeel/membership/agent.py
+++ b/cloverkeel/membership/agent.py
@@ -7,7 +7,7 @@
 - SIGTERM: the node says DRAINING, then after `drain_s` it is deleted, and the program ends with 0;
 - the session expires: a new one registers again, with the same start, if the box has answered all the while.
 
-What to do next is decided by Keeper, which is pure; the program round it carries that out.
+What to do next is decided by keeper.py, which is pure; this program carries that out.
 """
 
 from __future__ import annotations
@@ -22,84 +22,20 @@
 import threading
 import time
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
-from enum import Enum
+from dataclasses import replace
 
 from kazoo.client import KazooClient
 from kazoo.exceptions import KazooException, NodeExistsError, NoNodeError
 from kazoo.handlers.threading import KazooTimeoutError
 from kazoo.retry import KazooRetry
 
-from cloverkeel.membership.merge import Member, Status
-from cloverkeel.membership.nodes import NodeError, parse, render
+from cloverkeel.membership.keeper import Do, Keeper
+from cloverkeel.membership.nodes import NodeError, parse
 
 LOOK_S = 0.05  # between looks whether a signal came
 CONNECT = {"max_tries": -1, "delay": 0.1, "backoff": 2, "max_jitter": 1.0, "max_delay": 2.0}
 
 
-class Do(Enum):
-    NOTHING = "nothing"
-    CREATE = "create"
-    UPDATE = "update"
-    DELETE = "delete"
-    END = "end"  # delete, and end
-
-
-@dataclass(slots=True)
-class Keeper:
-    """What the node should be, from what was seen. Pure: times in seconds of one clock that moves forward."""
-
-    member: Member
-    fails: int = 3  # checks in a row
-    drain_s: float = 2.0  # from DRAINING to the deletion
-    failed: int = 0
-    answered: bool = False
-    has_node: bool = False
-    written: bytes = b""
-    draining_since: float | None = None
-
-    def on_check(self, now_ms: int, answers: bool) -> None:
-        """A health call was answered with 200, or not. A box that was gone and answers is a new process."""
-        if not answers:
-            self.failed += 1
-            if self.failed >= self.fails:
-                self.answered = False
-            return
-        if not self.answered:
-            self.answered = True
-            if self.failed >= self.fails:
-                self.member = replace(self.member, since_ms=now_ms)
-        self.failed = 0
-
-    def on_session(self) -> None:
-        """A new session: what the old one had made is gone, or will be."""
-        self.has_node, self.written = False, b""
-
-    def on_term(self, now_s: float) -> None:
-        if self.draining_since is None:
-            self.draining_since = now_s
-
-    def data(self) -> bytes:
-        status = Status.SERVING if self.draining_since is None else Status.DRAINING
-        return render(replace(self.member, status=status))
-
-    def next(self, now_s: float) -> Do:
-        if self.draining_since is not None:
-            if now_s - self.draining_since >= self.drain_s or not self.has_node:
-                return Do.END
-            return Do.UPDATE if self.written != self.data() else Do.NOTHING
-        if not self.answered:
-            return Do.DELETE if self.has_node else Do.NOTHING
-        if not self.has_node:
-            return Do.CREATE
-        return Do.UPDATE if self.written != self.data() else Do.NOTHING
-
-    def done(self, what: Do, data: bytes) -> None:
-        """It was carried out."""
-        self.has_node = what in (Do.CREATE, Do.UPDATE)
-        self.written = data if self.has_node else b""
-
-
 def check(host: str, port: int, path: str, timeout_s: float) -> bool:
     """Whether the box's health call answers 200 in time."""
     connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
--- a/tests/test_membership_ephemeral.py
+++ b/tests/test_membership_ephemeral.py
@@ -24,7 +24,7 @@
 from cloverkeel.core.config import parse as parse_config
 from cloverkeel.core.options import Ephemeral, Options
 from cloverkeel.core.options import load as load_options
-from cloverkeel.membership.agent import Do, Keeper
+from cloverkeel.membership.keeper import Do, Keeper
 from cloverkeel.membership.merge import Member, Source, Status
 from cloverkeel.membership.merged import MergedMembership
 from cloverkeel.membership.nodes import parse, render
