The gateway's own rooms are compiled too, and a request's timers cost next to nothing

What stood against compiling the rooms round them was a leak of 193 bytes a request: mypyc's code for bytes + bytes keeps its first operand. The three places that added bytes (a head that goes on, a request's rest, its target) no longer do.

The connections of clients and hosts are native classes now, protocols by their methods alone; each attempt's and each request's timers lie in a heap of ours behind one timer of the loop; the gateway takes any module of decisions by its interface, as tests listen in by one (a wrong type set on a native attribute from outside frees the old value and ends the process, found on the way).

--- a/caperdrift/compiling.py
+++ b/caperdrift/compiling.py
@@ -21,7 +21,21 @@
 from caperdrift import native
 
 ROOT = Path(native.HERE).parent
-MODULES = ("caperdrift.interface", "caperdrift.balance")
+MODULES = (
+    "caperdrift.interface",
+    "caperdrift.balance",
+    "cloverkeel.core.calls",
+    "cloverkeel.core.clock",
+    "cloverkeel.core.gateway",
+    "cloverkeel.core.messages",
+    "cloverkeel.core.ports",
+    "cloverkeel.core.stillness",
+    "cloverkeel.core.timers",
+    "cloverkeel.fronts.http1.requests",
+    "cloverkeel.fronts.http1.server",
+    "cloverkeel.protocols.http1",
+    "cloverkeel.upstream.pools",
+)
 SETUP = """
 from mypyc.build import mypycify
 from setuptools import setup
@@ -100,7 +114,9 @@
     parser.add_argument("--check", action="store_true", help="only tell whether there is a compiled build to be used")
     options = parser.parse_args(arguments)
     try:
-        native.read_stamp(str(options.folder))
+        lacking = set(MODULES) - set(native.read_stamp(str(options.folder)))
+        if lacking:
+            raise native.UnusableError(f"{', '.join(sorted(lacking))} not compiled")
         print("caperdrift: compiled already, from these sources")
         return 0
     except native.UnusableError as error:
--- a/caperdrift/native.py
+++ b/caperdrift/native.py
@@ -2,7 +2,7 @@
 
 What was compiled lies in a folder beside this file, with a stamp that is written last. It is used where the stamp
 names this Python, and the sources and libraries that are there now; else the sources run, and `caperdrift.BUILD` says
-why.
+why. Modules of another package are loaded when that is asked for (`load`): what only decides has no need of them.
 CLOVERKEEL_PLAIN=1 makes the sources run in any case. Nothing is written here: caperdrift/compiling.py does that.
 """
 
@@ -81,16 +81,31 @@
         return f"plain: {error}"
     finder = Finder(files)
     sys.meta_path.insert(0, finder)
+    return load("caperdrift")
+
+
+def load(package: str) -> str:
+    """Load all compiled modules of a package; "compiled", or why its sources run, in one line.
+
+    Call it before any of them is imported. A package that has none is plain.
+    """
+    finder = next((found for found in sys.meta_path if isinstance(found, Finder)), None)
+    if finder is None:
+        return "plain: no compiled build is in use"
+    names = [name for name in finder.files if name.partition(".")[0] == package]
+    if not names:
+        return f"plain: nothing of {package} was compiled"
     before = set(sys.modules)
     try:
-        for name in files:
-            if name.partition(".")[0] == "caperdrift":
-                importlib.import_module(name)
+        for name in names:
+            importlib.import_module(name)
     except Exception as error:
         # Whatever a library does when it is loaded: what came of it must not be mixed with the sources.
-        sys.meta_path.remove(finder)
+        finder.files = {name: file for name, file in finder.files.items() if name not in names}
+        if package == "caperdrift":
+            sys.meta_path.remove(finder)  # the others are bound to its compiled classes
         for name in set(sys.modules) - before:
-            if name in files:
+            if name.partition(".")[0] == package:
                 del sys.modules[name]
         return f"plain: {error}"
     return "compiled"
--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -71,7 +71,9 @@
     import gc
 
     import uvloop
-    from caperdrift import BUILD
+    from caperdrift import BUILD, native
+
+    rooms = native.load("cloverkeel")  # before any of its rooms is imported as a source
 
     from cloverkeel.assembly import assemble
     from cloverkeel.core.log import log
@@ -92,6 +94,8 @@
             log(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {error.strerror}")
             return 1
         log(f"decisions are {BUILD}")
+        if BUILD == "compiled" != rooms:
+            log(f"the gateway's rooms are {rooms}")
         if early:
             reloader.ask()
         gc.collect()
--- a/cloverkeel/core/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -42,8 +42,9 @@
 from cloverkeel.core.clock import now_us
 from cloverkeel.core.config import Config
 from cloverkeel.core.log import log
-from cloverkeel.core.ports import Attempt, End, Entry, Membership, Upstream
+from cloverkeel.core.ports import Attempt, Decisions, End, Entry, Membership, Upstream
 from cloverkeel.core.stillness import BEAT_US, Stillness
+from cloverkeel.core.timers import LoopTimers
 
 STILL_LOG_US = 10_000_000  # between lines on the log about standing still
 
@@ -71,7 +72,7 @@
     def __init__(self, config: Config, pools: Upstream, membership: Membership) -> None:
         self.loop = asyncio.get_running_loop()
         self.settings = config.settings
-        self.balancer = Balancer(config.settings, config.seed)
+        self.balancer: Decisions = Balancer(config.settings, config.seed)
         self.pools, self.discovery = pools, membership
         membership.tell(self.on_list)
         # What has happened, by what may be done with it while membership catches up: lists are handled, first of all;
@@ -84,6 +85,7 @@
         self.by_id: dict[str, Held] = {}  # the same by the client's id
         self.tickets = itertools.count(1)
         self.closed = False
+        self.timers = LoopTimers(self.loop)
         self.known = config.known
         self.still = Stillness(now_us())
         self.beat_timer: asyncio.TimerHandle | None = None
@@ -106,6 +108,7 @@
         self.closed = True
         if self.beat_timer is not None:
             self.beat_timer.cancel()
+        self.timers.close()
         self.discovery.close()
         self.pools.close()
 
@@ -276,10 +279,7 @@
             case Send():
                 self.send(action)
             case SetTimer():
-                # A millisecond more: the loop rounds, and a timer must not fire before it is due.
-                delay_s = max(0, action.due_us - now_us()) / 1e6 + 0.001
-                event = TimerFired(action.token)
-                self.loop.call_later(delay_s, self.post, lambda: event)
+                self.set_timer(action.due_us, action.token)
             case Refuse():
                 held = self.owed(action.request)
                 if held is not None:
@@ -303,6 +303,9 @@
             case _:
                 log(f"not carried out: {action!r}")
 
+    def set_timer(self, due_us: int, token: int) -> None:
+        self.timers.set(due_us, lambda: self.post(lambda: TimerFired(token)))
+
     def owed(self, ticket: str) -> Held | None:
         """The request, if it still waits for its final answer, which it has from now on."""
         held = self.held.get(ticket)
--- a/cloverkeel/core/ports.py
+++ b/cloverkeel/core/ports.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from caperdrift.interface import ListedServer, ListKind, LoadReport, Outcome
+from caperdrift.interface import Action, Event, ListedServer, ListKind, LoadReport, Outcome
 
 from cloverkeel.core.config import Address
 from cloverkeel.core.messages import Reply
@@ -39,6 +39,12 @@
 OnEnd = Callable[[End], None]
 
 
+class Decisions(Protocol):
+    """Which server is used, whether to try again, what is turned away: events in, actions out, in order."""
+
+    def handle(self, now_us: int, event: Event) -> list[Action]: ...
+
+
 class Upstream(Protocol):
     """Carries attempts to hosts. Every attempt that is begun ends once, by its `on_end`."""
 
--- a/cloverkeel/fronts/http1/requests.py
+++ b/cloverkeel/fronts/http1/requests.py
@@ -71,7 +71,7 @@
 
     def feed(self, data: bytes, most: int) -> None:
         """Read on, until so many requests wait: hundreds at once must not hold up everyone else."""
-        self.rest = self.rest + data if self.rest else data
+        self.rest = b"%s%s" % (self.rest, data) if self.rest else data
         while self.rest and not self.is_broken and len(self.done) < most:
             piece, self.rest = self.rest[:SLICE], self.rest[SLICE:]
             fault = self._parse(piece)
@@ -105,7 +105,7 @@
 
     def on_url(self, url: bytes) -> None:
         assert self._reading is not None
-        self._reading.target += url
+        self._reading.target = b"%s%s" % (self._reading.target, url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         request = self._reading
@@ -221,4 +221,5 @@
     lines += [line for name, line in request.lines if name not in stays]
     if body or request.method == b"POST":
         lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n"
+    lines.append(b"")
+    return b"\r\n".join(lines)
--- a/cloverkeel/fronts/http1/server.py
+++ b/cloverkeel/fronts/http1/server.py
@@ -103,7 +103,9 @@
     async def take(self, accepted: socket.socket) -> None:
         try:
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: ClientConnection(self), accepted)
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: cast(asyncio.Protocol, ClientConnection(self)), accepted
+            )
         except OSError:
             accepted.close()  # it has gone already
 
@@ -196,8 +198,8 @@
             connection.abort()
 
 
-class ClientConnection(asyncio.Protocol):
-    """One connection of a client; its requests are answered one after the other."""
+class ClientConnection:
+    """One connection of a client; its requests are answered one after the other. A protocol by its methods."""
 
     def __init__(self, server: Server) -> None:
         self.server = server
@@ -230,6 +232,9 @@
         if call is not None:
             self.server.gateway.leave(call)
 
+    def eof_received(self) -> None:
+        """Nothing stays half open."""
+
     def enter(self, phase: Phase | None, since_s: float | None = None) -> None:
         """Note what this connection waits for, for the sweep."""
         if phase is self.phase:
--- a/cloverkeel/upstream/pools.py
+++ b/cloverkeel/upstream/pools.py
@@ -15,6 +15,7 @@
 from cloverkeel.core.config import Address
 from cloverkeel.core.messages import Reply, header
 from cloverkeel.core.ports import End, OnEnd
+from cloverkeel.core.timers import LoopTimers, Timer
 from cloverkeel.protocols.http1 import ReplyError, ReplyReader
 
 IDLE_SHARE = 0.8  # of the host's idle time: no connection is kept unused for longer
@@ -22,7 +23,7 @@
 SPARED = 1  # connections of a host that may stay idle for longer than that
 SWEEP_S = 1.0
 PROBE_TIMEOUT_US = 250_000
-LOOK_S = 0.001  # for the loop to read what waits
+LOOK_US = 1_000  # for the loop to read what waits
 
 
 @dataclass(slots=True, eq=False)
@@ -49,7 +50,8 @@
     latency_us: int = 0
     connection: HostConnection | None = None
     opening: asyncio.Task[object] | None = None
-    timers: list[asyncio.TimerHandle] = field(default_factory=list)
+    timer: Timer | None = None  # of its time
+    connect_timer: Timer | None = None
     ended: bool = False
     looked: bool = False  # past its time it was looked whether its answer has come
 
@@ -64,8 +66,8 @@
     stale: int = 0
 
 
-class HostConnection(asyncio.Protocol):
-    """One connection to a host; it carries one attempt at a time."""
+class HostConnection:
+    """One connection to a host; it carries one attempt at a time. A protocol in asyncio's sense, by its methods."""
 
     __slots__ = (
         "address",
@@ -140,6 +142,9 @@
         elif self.attempt is None:
             self.close()
 
+    def eof_received(self) -> None:
+        """Nothing stays half open."""
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.pools.on_lost(self)
 
@@ -153,6 +158,7 @@
         self.settings = settings
         self.reads_load = reads_load  # the decision module ignores load reports: they are read for who does not
         self.loop = asyncio.get_running_loop()
+        self.timers = LoopTimers(self.loop)
         self.room = room  # called before a descriptor is taken
         self.may_write: Callable[[int], bool] = lambda now_us: True
         self.hosts: dict[int, Host] = {}
@@ -230,8 +236,7 @@
     def send(self, attempt: Attempt, timeout_us: int) -> None:
         """Begin an attempt on a kept connection, or on a new one where none is free."""
         attempt.sent_us = now_us()
-        later = self.loop.call_later
-        attempt.timers.append(later(timeout_us / 1e6, self.on_timeout, attempt))
+        attempt.timer = self.timers.set(attempt.sent_us + timeout_us, lambda: self.on_timeout(attempt))
         if not self.may_write(attempt.sent_us):
             self.end(attempt, Outcome.MOOT)
             return
@@ -246,7 +251,9 @@
             self.counts.stale += 1
         self.room()
         host, connect_us = attempt.host, self.settings.connect_timeout_us
-        attempt.timers.append(later(connect_us / 1e6, self.on_connect_timeout, attempt))
+        attempt.connect_timer = self.timers.set(
+            attempt.sent_us + connect_us, lambda: self.on_connect_timeout(attempt)
+        )
         connection = HostConnection(self, host, attempt)
         attempt.connection = connection
         connection.counted = True
@@ -254,7 +261,7 @@
         self.open += 1
         self.counts.opened += 1
         opening: asyncio.Task[object] = self.loop.create_task(
-            self.loop.create_connection(lambda: connection, *host.address)
+            self.loop.create_connection(lambda: cast(asyncio.Protocol, connection), *host.address)
         )
         attempt.opening = opening
         opening.add_done_callback(lambda task: self.on_opened(task, connection))
@@ -300,8 +307,11 @@
             return
         attempt.ended = True
         attempt.latency_us = now_us() - attempt.sent_us
-        for timer in attempt.timers:
-            timer.cancel()
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        if attempt.connect_timer is not None:
+            attempt.connect_timer.cancel()
+        attempt.timer = attempt.connect_timer = None
         if outcome is Outcome.CONNECT_FAILED:
             self.counts.failed += 1
         attempt.connection = attempt.opening = None
@@ -312,7 +322,7 @@
         if not attempt.looked and attempt.connection is not None and attempt.connection.has_unread():
             # Guards against giving up an answer that has come: after a stall, timers run before sockets are read.
             attempt.looked = True
-            attempt.timers.append(self.loop.call_later(LOOK_S, self.on_timeout, attempt))
+            attempt.timer = self.timers.set(now_us() + LOOK_US, lambda: self.on_timeout(attempt))
             return
         # What was never written cannot have run, also when the time ended while connecting.
         self.cancel(attempt, Outcome.TIMEOUT if self.is_written(attempt) else Outcome.CONNECT_FAILED)
@@ -414,6 +424,7 @@
 
     def close(self) -> None:
         self.sweeper.cancel()
+        self.timers.close()
         for host in self.hosts.values():
             self.close_idle(host.id)
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import json
+import sys
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -12,6 +13,7 @@
 
 import uvloop
 
+from caperdrift.balance import Balancer
 from cloverkeel.core.config import parse, stable_id
 from cloverkeel.assembly import assemble
 from cloverkeel.core.gateway import Gateway
@@ -19,6 +21,7 @@
 from cloverkeel.membership.registry import Discovery
 from cloverkeel.upstream.pools import Pools
 
+PROGRAM: tuple[str, ...] = (sys.executable, "-m", "cloverkeel")  # what is started as a process
 PATIENCE_S = 30.0  # for anything that should happen: how long a broken test takes, never how long a good one
 
 
@@ -203,6 +206,12 @@
     discovery: Discovery
     port: int
 
+    @property
+    def module(self) -> Balancer:
+        """The decision module itself, to look into."""
+        balancer = self.gateway.balancer
+        return balancer if isinstance(balancer, Balancer) else cast(Balancer, cast(Any, balancer).module)
+
     async def connect(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.port))
 
@@ -230,7 +239,7 @@
 
 def overhear(run: Running, hear: Callable[[object], None]) -> None:
     """Call this with each event, before the module is told it; what it raises is the module's error."""
-    run.gateway.balancer = cast(Any, Overheard(run.gateway.balancer, hear))
+    run.gateway.balancer = Overheard(run.gateway.balancer, hear)
 
 
 @dataclass
--- a/tests/test_gateway_discovery.py
+++ b/tests/test_gateway_discovery.py
@@ -70,7 +70,7 @@
         await until(lambda: len(registry.seen) == 4)
         assert asked(registry) == [f"/registry/instances?from={n}&hold_ms=20000" for n in (7, 8, 8, 9)]
         assert registry.opened == 1
-        assert set(run.pools.hosts) == {host_id(1)} == set(run.gateway.balancer.servers)
+        assert set(run.pools.hosts) == {host_id(1)} == set(run.module.servers)
 
 
 @on_loop
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from caperdrift.interface import ListKind, Outcome
 from cloverkeel.core.clock import now_us
 from cloverkeel.core.config import parse
@@ -91,6 +93,16 @@
             assert not connection.is_fresh()
 
 
+@pytest.mark.parametrize("said", [reply(200, b"another's"), b"HTTP/1.1 200 OK\r\nContent-Le"])
+@on_loop
+async def test_a_connection_on_which_a_host_speaks_unasked_is_closed(said: bytes) -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        assert (await run.ask(request())).status == 200
+        host.seen[0].answer(said)
+        await until(lambda: not idle(run))
+        assert (await run.ask(request())).body == b"fine" and host.opened == 2
+
+
 @on_loop
 async def test_a_host_that_asks_for_the_end_of_a_connection_gets_it() -> None:
     async with (
@@ -221,16 +233,19 @@
 async def test_an_attempt_given_up_as_its_connection_comes_up_leaves_nothing_behind() -> None:
     """Its opening is cancelled between connection_made and the task's end: the handle is closed unheard."""
     async with peer(silent) as host, running(configuration(host)) as run:
-        pools = run.pools
-        connected = pools.on_connected
-
-        def given_up(connection: HostConnection) -> None:
-            attempt = connection.attempt
-            if attempt is not None:
-                pools.cancel(attempt)
-            connected(connection)
-
-        pools.on_connected = given_up  # type: ignore[method-assign]
+        pools, looks = run.pools, 0
+
+        def give_up(at_us: int) -> bool:
+            """Asked as the attempt begins, and again as its connection comes up."""
+            nonlocal looks
+            looks += 1
+            if looks == 2:
+                (held,) = run.gateway.held.values()
+                (attempt,) = held.attempts
+                pools.cancel(attempt)  # type: ignore[arg-type]
+            return looks == 1
+
+        pools.guard(give_up)
         client = await run.connect()
         client.send(request("transfer"))
         await until(lambda: pools.counts.opened)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -14,6 +13,7 @@
 
 import pytest
 
+from tests import sockets
 from tests.sockets import (
     Client,
     Exchange,
@@ -33,7 +33,7 @@
 
 async def start(environment: dict[str, str]) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cloverkeel", cwd=ROOT, env=os.environ | environment,
+        *sockets.PROGRAM, cwd=ROOT, env=os.environ | environment,
         stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
     )  # fmt: skip
 
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -253,4 +253,4 @@
                     await run.ask(request(budget_ms=2_000))
             await until(lambda: not run.gateway.held)
             assert not run.gateway.by_id
-            assert not run.gateway.balancer.requests and not run.gateway.balancer.out
+            assert not run.module.requests and not run.module.out
