--- a/benchmarks/guards/__main__.py
+++ b/benchmarks/guards/__main__.py
@@ -1,10 +1,11 @@
-"""Take out every guard of the rules in turn, and tell whether a play notices.
+"""Take out every guard of the rules in turn, and tell whether a play or a scripted test notices.
 
     .venv-dev/bin/python -m benchmarks.guards [--quick] [--only NAME,...] [--seeds 1-10] [--workers 2] [--json FILE]
+    .venv-dev/bin/python -m benchmarks.guards --tests [--only NAME,...]    # the scripted tests alone: a minute
 
-Each play is carried out with the guard and without it, on the same seed. Exit code: 0 every loss was found in every
-play, and no play found anything with all guards in place; 1 otherwise; 2 an option cannot be used. A worker takes
-two to three cores.
+Each play is carried out with the guard and without it, on the same seed; each test of a row must fail without its
+guard. Exit code: 0 every loss was found in every play and test, and nothing was found with all guards in place; 1
+otherwise; 2 an option cannot be used. A worker of plays takes two to three cores, one of tests a core.
 """
 
 from __future__ import annotations
@@ -26,6 +27,8 @@
 from benchmarks.guards.maimed import GUARDS
 from benchmarks.guards.playing import Found, Play, carry_out
 from benchmarks.guards.rows import ROWS, Row
+from benchmarks.guards.tested import Verdict
+from benchmarks.guards.tested import carry_out as carry_out_tests
 
 Task = tuple[Play, tuple[str, ...]]
 
@@ -38,7 +41,7 @@
 
 
 def choose(only: str, quick: bool, numbers: Sequence[int] | None) -> list[Row]:
-    rows = [row for row in ROWS if row.quick or not quick]
+    rows = [row for row in ROWS if not quick or (row.quick and row.plays)]
     if quick:  # one seed of each
         firsts = [tuple({play.scenario: play for play in reversed(row.plays)}.values()) for row in rows]
         rows = [replace(row, plays=plays) for row, plays in zip(rows, firsts, strict=True)]
@@ -92,7 +95,7 @@
             plays = [play for play in row.plays if play.scenario == scenario]
             figures: list[float] = []
             for play in plays:
-                with_it, without = results[play, row.faults], results[play, row.faults + row.out]
+                with_it, without = results[play, ()], results[play, row.out]
                 figures.append(-1.0 if without.failed else row.measure(with_it, without))
                 if without.failed:
                     bad.append(f"{row.name}: {scenario}, seed {play.seed}: {said(without)}")
@@ -103,18 +106,18 @@
             table.add_row(
                 row.name if not number else "", row.where if not number else "", scenario,
                 ",".join(str(play.seed) for play in plays), f"[{colour}]{found} of {len(plays)}[/]",
-                row.by + (f" ({row.klass})" if row.klass else ""), f"{min(figures):.3g} to {max(figures):.3g}",
+                row.by, f"{min(figures):.3g} to {max(figures):.3g}",
             )  # fmt: skip
-    references = {(play, row.faults) for row in rows for play in row.plays}
+    references = {play for row in rows for play in row.plays}
     dirty = 0
-    for play, faults in sorted(references, key=str):
-        found_there = results[play, faults]
-        if found_there.breaches or found_there.failed or (found_there.faults and not faults):
+    for play in sorted(references, key=str):
+        found_there = results[play, ()]
+        if found_there.breaches or found_there.failed or found_there.faults:
             dirty += 1
             bad.append(f"{play.scenario}, seed {play.seed}, with all guards: {said(found_there)}")
     console.print(table)
     console.print(f"{len(references) - dirty} of {len(references)} plays find nothing with all guards in place")
-    colds = [results[key].worst_cold for key in references if results[key].worst_cold]
+    colds = [results[play, ()].worst_cold for play in references if results[play, ()].worst_cold]
     if colds:
         console.print(f"cold boxes were sent {min(colds):.0%} to {max(colds):.0%} of what pushes them over")
     for line in bad:
@@ -122,10 +125,34 @@
     return len(bad)
 
 
+def show_tests(verdicts: Sequence[Verdict], wrong: str, console: Console) -> int:
+    """Print which rows' tests notice; returns how many do not, and one more if anything was wrong with all guards."""
+    table = Table(title="guards taken out of scripted tests")
+    for name in ("guard", "where", "test", "found"):
+        table.add_column(name, overflow="fold")
+    for verdict in verdicts:
+        for number, test in enumerate(verdict.row.tests):
+            found = not verdict.said and test not in verdict.unnoticed
+            table.add_row(
+                verdict.row.name if not number else "", verdict.row.where if not number else "",
+                test.removeprefix("tests/"), "[green]yes[/]" if found else "[red]no[/]",
+            )  # fmt: skip
+    console.print(table)
+    lost = [verdict for verdict in verdicts if not verdict.found]
+    for verdict in lost:
+        said = verdict.said or f"passes without it: {', '.join(verdict.unnoticed)}"
+        console.print(f"{verdict.row.name}: {said}", style="red", highlight=False, markup=False)
+    if wrong:
+        console.print(wrong, style="red", highlight=False, markup=False)
+    console.print(f"{len(verdicts) - len(lost)} of {len(verdicts)} guards are found by their tests")
+    return len(lost) + bool(wrong)
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     about = "a part that takes a minute: the rows found most surely, one seed"
     parser.add_argument("--quick", action="store_true", help=about)
+    parser.add_argument("--tests", action="store_true", help="the scripted tests alone, no play")
     parser.add_argument("--only", default="", metavar="NAME,...", help="these rows alone")
     parser.add_argument("--seeds", metavar="N|N-M", help="in place of the table's own")
     parser.add_argument("--workers", type=int, default=max(1, (os.cpu_count() or 1) // 3))
@@ -142,10 +169,15 @@
     except ValueError as error:
         print(f"guards: {error}", file=sys.stderr)
         return 2
-    assert all(name in GUARDS for row in ROWS for name in row.out + row.faults)
-    tasks = [(play, row.faults + out) for row in rows for play in row.plays for out in ((), row.out)]
+    assert all(name in GUARDS for row in ROWS for name in row.out)
+    assert all(row.plays or row.tests for row in ROWS)
+    if options.tests:
+        return 1 if show_tests(*carry_out_tests(rows, os.cpu_count() or 1), console) else 0
+    tasks = [(play, out) for row in rows for play in row.plays for out in ((), row.out)]
     results = carry_out_all(tasks, options.workers, console)
     bad = show(rows, results, console)
+    if not options.quick:
+        bad += show_tests(*carry_out_tests(rows, os.cpu_count() or 1), console)
     if options.json is not None:
         found = [
             {"play": asdict(play), "out": list(out)} | asdict(result) for (play, out), result in results.items()
--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -2,14 +2,12 @@
 
 Each entry replaces one function, or one line of it, and then the program starts as it always does; nothing in the
 product knows of this file. A line that is to be replaced must be there just once: when the sources change, the
-entry fails loudly instead of taking out nothing. Names that begin with `fault-` put a fault in; they are for guards
-against faults, and stay in when the guard is there.
+entry fails loudly instead of taking out nothing.
 """
 
 from __future__ import annotations
 
 import inspect
-import itertools
 import os
 import sys
 import textwrap
@@ -50,53 +48,6 @@
     setattr(owner, name, made[name])
 
 
-# Faults: what the guards against faults are tried with
-
-
-@entry("fault-module")
-def _() -> None:
-    """The module fails at one event in a hundred."""
-    from caperdrift.balance import Balancer
-
-    count = itertools.count(1)
-    old = Balancer.handle
-
-    def handle(self: Any, now_us: int, event: Any) -> Any:
-        if next(count) % 100 == 0:
-            raise RuntimeError("planted")
-        return old(self, now_us, event)
-
-    swap(Balancer, "handle", handle)
-
-
-@entry("fault-cancel")
-def _() -> None:
-    """Nothing can be cancelled: it raises."""
-    from cloverkeel.core.gateway import Gateway
-
-    def cancel(self: Any, action: Any) -> None:
-        raise RuntimeError("planted")
-
-    swap(Gateway, "cancel", cancel)
-
-
-@entry("fault-lost-end")
-def _() -> None:
-    """The end of what was cancelled is told to nobody."""
-    from caperdrift.interface import Outcome
-
-    from cloverkeel.upstream.pools import Pools
-
-    old = Pools.end
-
-    def end(self: Any, attempt: Any, outcome: Outcome, reply: Any = None) -> None:
-        if outcome is Outcome.CANCELLED:
-            attempt.on_end = lambda end: None
-        old(self, attempt, outcome, reply)
-
-    swap(Pools, "end", end)
-
-
 # Nothing goes missing
 
 
@@ -291,17 +242,17 @@
 @entry("head-deadline")
 def _() -> None:
     """A request that has begun to come has all the time in the world."""
-    from cloverkeel.fronts.http1 import server
+    from cloverkeel.fronts.http1.server import Server
 
-    swap(server, "READING_S", 3600.0)
+    cut(Server, "sweep", ("connection.give_up_reading()", "pass"))
 
 
 @entry("silent-deadline")
 def _() -> None:
     """A client's connection that has said nothing stays."""
-    from cloverkeel.fronts.http1 import server
+    from cloverkeel.fronts.http1.server import Server
 
-    swap(server, "SILENT_S", 3600.0)
+    cut(Server, "sweep", ("((self.silent, SILENT_S), (self.kept, kept_s))", "((self.kept, kept_s),)"))
 
 
 @entry("head-limit")
@@ -563,10 +514,13 @@
 
 @entry("list-before-all")
 def _() -> None:
-    """A list that comes while membership catches up waits with the rest."""
+    """A list waits behind what came before it was read."""
     from cloverkeel.core.gateway import Gateway
 
-    cut(Gateway, "work", ("if self.lists:", "if self.lists and may_write:"))
+    cut(
+        Gateway, "on_list",
+        ("self.lists.append((kind, entries))", "self.events.append((lambda: self.take_list(kind, entries), None))"),
+    )  # fmt: skip
 
 
 @entry("still")
@@ -758,15 +712,22 @@
     cut(Pools, "on_timeout", ("if not attempt.looked and", "if False and"))
 
 
-def main(arguments: Sequence[str]) -> int:
-    names = arguments[0].split("+") if arguments else []
+def take_out(names: Sequence[str]) -> None:
+    """Take these guards out of this process; ValueError where one is not known."""
     unknown = [name for name in names if name not in GUARDS]
     if unknown or not names:
-        print(f"maimed: expected names of {', '.join(sorted(GUARDS))}, found {unknown}", file=sys.stderr)
-        return 2
+        raise ValueError(f"expected names of {', '.join(sorted(GUARDS))}, found {unknown}")
     os.environ["CLOVERKEEL_PLAIN"] = "1"  # compiled code takes no replacement
     for name in names:
         GUARDS[name]()
+
+
+def main(arguments: Sequence[str]) -> int:
+    try:
+        take_out(arguments[0].split("+") if arguments else [])
+    except ValueError as error:
+        print(f"maimed: {error}", file=sys.stderr)
+        return 2
     from cloverkeel.__main__ import main as program
 
     return program(arguments[1:])
--- a/benchmarks/guards/playing.py
+++ b/benchmarks/guards/playing.py
@@ -35,13 +35,11 @@
 
 @dataclass(slots=True)
 class Found:
-    """What a play came to. `service` and `attempts` are shares."""
+    """What a play came to. `service` is a share."""
 
     breaches: dict[str, int] = field(default_factory=dict)
     first: dict[str, str] = field(default_factory=dict)  # by rule, in one line
     service: float = 0.0
-    by_class: dict[str, float] = field(default_factory=dict)
-    attempts: float = 0.0  # whole requests at boxes for each try that was sent on
     worst_cold: float = 0.0  # most of its limit that a cold box was sent
     faults: list[str] = field(default_factory=list)
     failed: str = ""  # why it could not be carried out
@@ -76,9 +74,7 @@
     first: dict[str, str] = {}
     for breach in breaches:
         first.setdefault(breach.rule, f"{breach.subject}: {breach.what}")
-    sent = [figures.attempts for figures in summary.classes.values() if figures.attempts]
     return Found(
         {rule: count for rule, count in summary.breaches.items() if count}, first, summary.service,
-        {name: figures.service for name, figures in summary.classes.items()},
-        max(sent, default=0.0), summary.cold, world.faults,
+        summary.cold, world.faults,
     )  # fmt: skip
--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -1,4 +1,4 @@
-"""The table: each guard of the rules, what it holds, where, and the plays that must find it gone."""
+"""The table: each guard of the rules, what it holds, where, and the plays and tests that must find it gone."""
 
 from __future__ import annotations
 
@@ -9,18 +9,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Row:
-    """`by` finds the loss: a rule of the auditor, "service" (share lost against the same play with the guard in
-    place), "attempts" (more than so many for each try), or "log" (a defect is told on a gateway's log)."""
+    """`by` finds the loss in plays: a rule of the auditor, or "service" (share lost against the same play with the
+    guard in place). What a test finds is its own affair."""
 
     out: tuple[str, ...]  # names in maimed.GUARDS; several: each is the other's second line
     holds: str
     where: str
     plays: tuple[Play, ...]
     by: str
-    least: float = 1.0  # breaches, share of service lost, or attempts
-    klass: str = ""  # of which class, for "service"
-    faults: tuple[str, ...] = ()  # planted in the reference too
+    least: float = 1.0  # breaches, or share of service lost
     quick: bool = False
+    tests: tuple[str, ...] = ()  # scripted ones that must fail without it; a row has plays, tests or both
 
     @property
     def name(self) -> str:
@@ -28,117 +27,170 @@
 
     def measure(self, with_it: Found, without: Found) -> float:
         """How much of what it looks for; the loss is found where this is at least `least`."""
-        match self.by:
-            case "service":
-                if self.klass:
-                    return with_it.by_class[self.klass] - without.by_class[self.klass]
-                return with_it.service - without.service
-            case "attempts":
-                return without.attempts
-            case "log":
-                return float(len(without.faults))
-            case rule:
-                return float(without.breaches.get(rule, 0))
+        if self.by == "service":
+            return with_it.service - without.service
+        return float(without.breaches.get(self.by, 0))
 
 
 def row(
-    out: str, holds: str, where: str, scenario: str, by: str, least: float = 1.0, *, seeds: tuple[int, ...] = (1, 2),
-    klass: str = "", faults: tuple[str, ...] = (), quick: bool = False,
+    out: str, holds: str, where: str, scenario: str = "", by: str = "", least: float = 1.0, *,
+    seeds: tuple[int, ...] = (1, 2), quick: bool = False,
+    tests: str = "",
 ) -> Row:  # fmt: skip
+    """`scenario` and `tests` are lists of words; "requests::x" is tests/test_requests.py::test_x."""
     plays = tuple(Play(name, seed) for name in scenario.split() for seed in seeds)
-    return Row(tuple(out.split("+")), holds, where, plays, by, least, klass, faults, quick)
+    names = tuple("tests/test_{}.py::test_{}".format(*test.split("::")) for test in tests.split())
+    return Row(tuple(out.split("+")), holds, where, plays, by, least, quick, names)
 
 
 COLD = "cold cold-fleet cold-firsts cold-popular cold-room cold-wave cold-slow cold-hint"
 ROWS = (
     # Nothing goes missing
-    row("answers-failed", "what has failed is answered", "Balancer.answer_unserved", "hang", "missing"),
-    row("answers-refused", "what is turned away is answered", "Balancer.answer_unserved", "surge", "missing"),
-    row("answers-module-error", "an event that the module fails at is answered", "Gateway.handle", "calm", "missing",
-        faults=("fault-module",)),
-    row("answers-action-error", "an action that fails takes no other along", "Gateway.handle", "hang", "missing",
-        faults=("fault-cancel",)),
-    row("answer-owed+answer-own", "no answer but the one that is owed", "Gateway.owed, ClientConnection", "hang",
-        "missing"),
-    row("deadline-module+deadline-gateway", "an answer comes in its client's time", "Balancer.end_us, Gateway.send",
-        "hang", "missing"),
-    row("ids-in-use", "an id that is open is not taken again", "Gateway.arrive", "ids", "missing"),
+    row("answers-failed", "what has failed is answered", "Balancer.answer_unserved", "hang", "missing",
+        tests="requests::an_unsafe_request_that_may_have_run_fails_at_once"),
+    row("answers-refused", "what is turned away is answered", "Balancer.answer_unserved", "surge", "missing",
+        tests="gateway_clients::a_refusal_tells_when_to_come_back_where_the_module_says_so"),
+    row("answers-module-error", "an event that the module fails at is answered", "Gateway.handle",
+        tests="gateway_outcomes::an_error_of_the_module_fails_one_request_and_no_more"),
+    row("answers-action-error", "an action that fails takes no other along", "Gateway.handle",
+        tests="gateway_outcomes::an_action_that_fails_takes_no_other_along"),
+    row("answer-owed+answer-own", "no answer but the one that is owed", "Gateway.owed, ClientConnection",
+        tests="gateway_outcomes::a_final_answer_that_is_not_owed_goes_to_nobody"),
+    row("deadline-module+deadline-gateway", "an answer comes in its client's time",
+        "Balancer.end_us, Gateway.send", "hang", "missing",
+        tests="gateway_outcomes::a_time_out_closes_the_connection_and_fails_what_may_have_run"),
+    row("ids-in-use", "an id that is open is not taken again", "Gateway.arrive", "ids", "missing",
+        tests="gateway_clients::an_id_that_is_in_use_is_not_taken_twice"),
     row("tickets+free-by-identity", "a request is forgotten as itself, not by its id",
-        "Gateway.arrive, Balancer.free", "ids", "service", 0.1),
-    row("sweep", "what nobody ended is written off", "Balancer.sweep", "hang", "service", 0.05,
-        faults=("fault-lost-end",)),
-    row("way-out-accepts", "what waits to be accepted is answered", "Server.drain", "way-out", "missing"),
-    row("way-out-answers", "what is held is answered", "Server.drain", "way-out", "missing"),
-    row("way-out-ends+way-out-bound", "the way out ends", "Server.close_idle, END_S", "way-out", "missing"),
-    row("idle-unread", "what waits in the kernel is not idle", "ClientConnection.is_idle", "way-out", "missing"),
-    row("idle-first", "a new connection's request has time to come", "Server.close_idle", "way-out", "missing"),
-    row("replies-behind", "bytes behind an answer are no answer", "ReplyReader.feed", "failing", "missing"),
-    row("cancel-closes", "a late answer goes to nobody else", "Pools.cancel", "hang", "missing"),
-    row("unasked-closes", "what comes unasked is no answer", "HostConnection", "failing", "missing"),
+        "Gateway.arrive, Balancer.free",
+        tests="repeated_ids::a_late_timer_of_an_answered_request_spares_its_namesake"),
+    row("sweep", "what nobody ended is written off", "Balancer.sweep",
+        tests="repeated_ids::an_attempt_that_nobody_ends_is_written_off_and_said_to_be_a_defect"),
+    row("way-out-accepts", "what waits to be accepted is answered", "Server.drain",
+        tests="gateway_process::a_restart_finishes_what_is_held_and_still_takes_what_comes "
+              "gateway_process::no_request_is_lost_at_a_restart_under_way"),
+    row("way-out-answers", "what is held is answered", "Server.drain",
+        tests="gateway_process::a_restart_finishes_what_is_held_and_still_takes_what_comes "
+              "gateway_process::all_that_was_read_on_one_connection_is_answered_on_the_way_out"),
+    row("way-out-ends+way-out-bound", "the way out ends", "Server.close_idle, END_S",
+        tests="gateway_process::what_never_ends_does_not_keep_it "
+              "gateway_process::a_restart_finishes_what_is_held_and_still_takes_what_comes"),
+    row("idle-unread", "what waits in the kernel is not idle", "ClientConnection.is_idle",
+        tests="gateway_clients::what_waits_to_be_read_keeps_its_connection"),
+    row("idle-first", "a new connection's request has time to come", "Server.close_idle",
+        tests="gateway_clients::on_the_way_out_a_new_connection_has_time_for_its_first_request"),
+    row("replies-behind", "bytes behind an answer are no answer", "ReplyReader.feed",
+        tests="gateway_pools::an_answer_that_overtakes_its_request_ends_the_connection"),
+    row("cancel-closes", "a late answer goes to nobody else", "Pools.cancel",
+        tests="gateway_outcomes::a_time_out_closes_the_connection_and_fails_what_may_have_run "
+              "gateway_outcomes::a_client_that_leaves_ends_the_attempt"),
+    row("unasked-closes", "what comes unasked is no answer", "HostConnection",
+        tests="gateway_pools::a_connection_on_which_a_host_speaks_unasked_is_closed"),
     # Clients that break the protocol
-    row("head-deadline", "a request that does not go on gets 408", "Server.sweep", "rude", "owed", quick=True),
-    row("silent-deadline", "who says nothing is closed", "Server.sweep", "rude", "owed"),
-    row("head-limit", "a head has 16 KiB", "RequestReader", "rude", "bounds"),
-    row("body-limit", "a body has 64 KiB", "RequestReader", "rude", "missing", quick=True),
-    row("read-ahead", "16 requests are read ahead on one connection", "RequestReader.feed", "at-once",
-        "missing", quick=True),
-    row("both-framings", "a length and a coding are refused", "RequestReader", "rude", "missing", quick=True),
-    row("repeated-headers", "an id that comes twice is refused", "read_call", "rude", "missing"),
-    row("budget-cut", "a budget is cut to the class's time", "read_call", "rude", "log"),
-    row("client-share", "clients leave descriptors to hosts", "Server.has_room", "crowd", "service", 0.03),
-    row("accept-error", "an accept without a descriptor is survived", "Server.accept", "crowd", "log"),
-    row("client-share+host-room", "a host gets a descriptor", "Server.make_room", "crowd", "service", 0.03),
+    row("head-deadline", "a request that does not go on gets 408", "Server.sweep", "rude", "owed", quick=True,
+        tests="gateway_limits::a_request_that_does_not_come_in_time_is_answered_408"),
+    row("silent-deadline", "who says nothing is closed", "Server.sweep", "rude", "owed",
+        tests="gateway_limits::a_silent_client_and_a_kept_connection_are_let_go_and_a_busy_one_is_not"),
+    row("head-limit", "a head has 16 KiB", "RequestReader", "rude", "bounds",
+        tests="gateway_limits::what_is_no_request_is_refused_and_nothing_of_it_reaches_a_host"),
+    row("body-limit", "a body has 64 KiB", "RequestReader", "rude", "missing", quick=True,
+        tests="gateway_clients::what_cannot_be_taken_is_answered_and_the_program_goes_on"),
+    row("read-ahead", "16 requests are read ahead on one connection", "RequestReader.feed", "at-once", "missing",
+        quick=True, tests="gateway_limits::hundreds_of_requests_at_once_wait_unparsed_and_are_all_answered"),
+    row("both-framings", "a length and a coding are refused", "RequestReader", "rude", "missing", quick=True,
+        tests="gateway_limits::what_is_no_request_is_refused_and_nothing_of_it_reaches_a_host"),
+    row("repeated-headers", "an id that comes twice is refused", "read_call",
+        tests="gateway_limits::what_is_no_request_is_refused_and_nothing_of_it_reaches_a_host"),
+    row("budget-cut", "a budget is cut to the class's time", "read_call",
+        tests="gateway_limits::a_time_beyond_the_class_is_cut_and_none_at_all_is_answered_at_once"),
+    row("client-share", "clients leave descriptors to hosts", "Server.has_room",
+        tests="gateway_limits::silent_clients_crowd_out_neither_hosts_nor_other_clients"),
+    row("accept-error", "an accept without a descriptor is survived", "Server.accept",
+        tests="gateway_limits::an_accept_that_finds_no_descriptor_gives_up_who_asks_nothing"),
+    row("client-share+host-room", "a host gets a descriptor", "Server.make_room",
+        tests="gateway_pools::idle_connections_make_room_when_descriptors_run_short"),
     # Hosts that break it
-    row("reply-body-limit", "an answer has 64 KiB", "ReplyReader", "floods", "bounds", quick=True),
-    row("reply-head-limit", "an answer's head has 16 KiB", "ReplyReader", "floods", "bounds"),
+    row("reply-body-limit", "an answer has 64 KiB", "ReplyReader", "floods", "bounds", quick=True,
+        tests="gateway_outcomes::what_comes_back_is_the_outcome"),
+    row("reply-head-limit", "an answer's head has 16 KiB", "ReplyReader", "floods", "bounds",
+        tests="gateway_outcomes::what_comes_back_is_the_outcome"),
     # Nothing takes effect twice
-    row("unsafe-again+unsafe-servers", "an unsafe request that may have run is sent no more", "Balancer.try_again, "
-        "allowed_servers", "failing", "twice", quick=True),
-    row("keyed-group", "a hold is repeated on its shelf alone", "Balancer.allowed_servers", "failing",
-        "twice", quick=True),
-    row("keyed-window", "a hold is repeated within its window", "Balancer.allowed_servers", "window",
-        "twice", quick=True),
-    row("refuses-what-ran", "what may have run is not refused", "Balancer.answer_unserved", "failing",
-        "twice", quick=True),
+    row("unsafe-again+unsafe-servers", "an unsafe request that may have run is sent no more",
+        "Balancer.try_again, allowed_servers", "failing", "twice", quick=True,
+        tests="gateway_outcomes::after_a_reset_only_what_may_run_twice_goes_out_again "
+              "requests::an_unsafe_request_that_may_have_run_fails_at_once"),
+    row("keyed-group", "a hold is repeated on its shelf alone", "Balancer.allowed_servers", "failing", "twice",
+        quick=True, tests="gateway_outcomes::a_keyed_request_that_may_have_run_stays_in_its_group"),
+    row("keyed-window", "a hold is repeated within its window", "Balancer.allowed_servers", "window", "twice",
+        quick=True, tests="requests::a_keyed_request_stays_in_its_group_and_window"),
+    row("refuses-what-ran", "what may have run is not refused", "Balancer.answer_unserved", "failing", "twice",
+        quick=True, tests="gateway_outcomes::what_comes_back_is_the_outcome"),
     row("attempts-module+attempts-gateway", "so many attempts at most", "Balancer.try_again, Gateway.send",
-        "two-attempts", "twice"),
-    row("second-copies", "no second copy where none may be", "Balancer.on_overdue", "one-copy", "twice"),
-    row("reset-may-have-run", "a broken connection may have carried it", "Pools.on_lost", "failing", "twice"),
-    row("timeout-may-have-run", "what is not answered in time may run", "Pools.is_written", "hang", "twice"),
-    row("error-may-have-run", "a 500 may have run", "outcome_of", "failing", "twice", quick=True),
-    row("garbage-may-have-run", "noise may have run", "Pools.on_garbage", "failing", "twice", quick=True),
+        "two-attempts", "twice", tests="requests::attempts_end_with_the_limit"),
+    row("second-copies", "no second copy where none may be", "Balancer.on_overdue",
+        tests="requests::no_second_copy_where_none_is_allowed"),
+    row("reset-may-have-run", "a broken connection may have carried it", "Pools.on_lost", "failing", "twice",
+        tests="gateway_outcomes::after_a_reset_only_what_may_run_twice_goes_out_again"),
+    row("timeout-may-have-run", "what is not answered in time may run", "Pools.is_written", "hang", "twice",
+        tests="gateway_outcomes::a_time_out_closes_the_connection_and_fails_what_may_have_run"),
+    row("error-may-have-run", "a 500 may have run", "outcome_of", "failing", "twice", quick=True,
+        tests="gateway_outcomes::what_comes_back_is_the_outcome"),
+    row("garbage-may-have-run", "noise may have run", "Pools.on_garbage", "failing", "twice", quick=True,
+        tests="gateway_outcomes::what_comes_back_is_the_outcome"),
     # Drains hold
     row("drain-module+drain-pools", "nothing new to a server that drains", "Balancer.is_eligible, Pools.may_send",
-        "drain", "drain", quick=True),
-    row("gone-module+gone-pools+drain-pools", "nothing to a server that is gone", "Balancer.take_leave, Pools.remove",
-        "drain", "drain"),
-    row("list-again", "a list that failed is asked for again", "Balancer.on_list", "list-lost", "drain"),
-    row("list-moves", "a registry that moves is followed", "Discovery.move", "list-moves", "drain"),
-    row("still", "what came in a gap is read before a send", "Gateway.look", "paused", "drain"),
-    row("list-before-all", "a list goes ahead of what waits", "Gateway.work", "paused", "drain"),
-    row("lost-tells-nothing", "a session that is lost tells nothing", "Membership.link", "sessions", "service", 0.1),
-    row("state-kept", "a box told gone stays gone through a restart", "state.load", "sessions", "service", 0.02),
-    row("agent-checks", "a box that does not answer has no node", "Keeper.on_check", "sessions", "service", 0.02),
+        "drain", "drain", quick=True, tests="gateway_pools::nothing_starts_after_the_grace_of_a_drain"),
+    row("gone-module+gone-pools+drain-pools", "nothing to a server that is gone",
+        "Balancer.take_leave, Pools.remove",
+        tests="gateway_discovery::the_whole_list_drops_what_it_does_not_name"),
+    row("list-again", "a list that failed is asked for again", "Balancer.on_list",
+        tests="gateway_discovery::a_failed_call_is_told_and_made_again_when_the_module_says"),
+    row("list-moves", "a registry that moves is followed", "Discovery.move",
+        tests="gateway_reload::discovery_moves_at_once_while_requests_go_on"),
+    row("still", "what came in a gap is read before a send", "Gateway.look", "paused", "drain",
+        tests="stillness::word_of_a_drain_is_read_before_a_request_that_came_first"),
+    row("list-before-all", "a list goes ahead of what waits", "Gateway.work",
+        tests="stillness::word_of_a_drain_is_read_before_a_request_that_came_first"),
+    row("lost-tells-nothing", "a session that is lost tells nothing", "Membership.link",
+        tests="membership_ephemeral::the_gateways_own_session_expires_and_the_list_stands_until_it_is_read_again"),
+    row("state-kept", "a box told gone stays gone through a restart", "state.load",
+        tests="membership_ephemeral::a_box_told_gone_does_not_come_back_at_a_restart_without_the_service"),
+    row("agent-checks", "a box that does not answer has no node", "Keeper.on_check",
+        tests="membership_ephemeral::no_node_before_the_box_answers_nor_after_it_stopped"),
     # Cold hosts are spared
     row("cold-budget", "a gateway keeps to its part of a cold budget", "Balancer.cold_room", COLD, "cold",
-        seeds=(1,)),
-    row("cold-share", "a cold server is held for cold", "Balancer.cold_share", "cold cold-fleet", "cold"),
-    row("cold-users", "the budget is shared by all", "Balancer.fall_budget_us", "cold-fleet", "cold"),
-    row("cold-firsts", "first requests do not come together", "Balancer.list_server", "cold-firsts", "cold"),
-    row("cold-late", "a server may be slower to warm up than told", "Server.settled_at_us", "cold-slow", "cold"),
+        seeds=(1,), tests="requests::cold_servers_are_kept_within_the_budget_by_all_proxies_together"),
+    row("cold-share", "a cold server is held for cold", "Balancer.cold_share",
+        tests="requests::a_cold_server_is_drawn_by_the_share_of_its_capacity_that_it_has"),
+    row("cold-users", "the budget is shared by all", "Balancer.fall_budget_us",
+        tests="requests::cold_servers_are_kept_within_the_budget_by_all_proxies_together"),
+    row("cold-firsts", "first requests do not come together", "Balancer.list_server", "cold-firsts", "cold",
+        tests="requests::cold_servers_are_kept_within_the_budget_by_all_proxies_together"),
+    row("cold-late", "a server may be slower to warm up than told", "Server.settled_at_us", "cold-slow", "cold",
+        tests="requests::a_server_that_should_be_warm_gets_little_at_once_until_it_must_be"),
     # The process
-    row("sighup", "a reload ends nothing", "__main__.run", "list-moves", "crash"),
-    row("early-signals", "a signal during the start is survived", "__main__.run", "early", "crash", quick=True),
+    row("sighup", "a reload ends nothing", "__main__.run", "list-moves", "crash",
+        tests="gateway_reload::discovery_moves_at_once_while_requests_go_on"),
+    row("early-signals", "a signal during the start is survived", "__main__.run", "early", "crash", quick=True,
+        tests="gateway_process::a_signal_during_the_start_ends_it_with_0 "
+              "gateway_reload::a_signal_while_the_file_is_first_read_is_kept"),
     # Refusals of a send that protect service
-    row("breaker", "a failing server is left alone", "Breaker.lets_through", "dead failing", "service", 0.03),
-    row("silent-server", "a server that owes answers is sent no more", "Balancer.is_eligible", "hang", "service",
-        0.01),
-    row("connect-verdict", "a dead server is left alone at once", "Balancer.judge", "dead", "attempts", 1.2),
-    row("common-failures", "no server is blamed for what fails everywhere", "Balancer.common_share", "surge",
-        "service", 0.03),
-    row("shedding", "what would wait too long is refused", "Balancer.adjust_shed", "surge", "service", 0.1),
-    row("retry-tokens", "repeats are bounded", "Balancer.try_again", "surge", "attempts", 1.2),
-    row("fresh-connections+idle-share", "a kept connection is one that the host keeps", "Pools.take", "idle",
-        "service", 0.02, klass="transfer"),
-    row("answered-late", "an answer that has come is passed on", "Pools.on_timeout", "paused", "service", 0.001),
+    row("breaker", "a failing server is left alone", "Breaker.lets_through",
+        tests="breaker::an_open_server_gets_nothing_until_the_cooldown_ends "
+              "breaker::half_open_gives_out_no_more_than_its_trials"),
+    row("silent-server", "a server that owes answers is sent no more", "Balancer.is_eligible",
+        tests="requests::a_silent_server_gets_nothing_more"),
+    row("connect-verdict", "a dead server is left alone at once", "Balancer.judge",
+        tests="breaker::a_failed_connect_of_a_trial_reopens_at_once_for_longer requests::one_failed_connect_opens"),
+    row("common-failures", "no server is blamed for what fails everywhere", "Balancer.common_share",
+        tests="breaker::failures_in_common_open_next_to_nothing_and_a_dead_server_is_found_among_them"),
+    row("shedding", "what would wait too long is refused", "Balancer.adjust_shed",
+        tests="requests::long_waits_shed_the_least_worth_first_and_prompt_answers_end_it"),
+    row("retry-tokens", "repeats are bounded", "Balancer.try_again",
+        tests="breaker::after_a_reset_a_repeat_costs_less_and_goes_on_while_little_is_shed"),
+    row("fresh-connections+idle-share", "a kept connection is one that the host keeps", "Pools.take",
+        tests="gateway_pools::spare_connections_end_soon_and_the_last_before_the_host_ends_it "
+              "gateway_pools::the_poll_sees_an_end_before_the_loop_does"),
+    row("answered-late", "an answer that has come is passed on", "Pools.on_timeout",
+        tests="stillness::an_answer_that_came_in_a_gap_is_passed_on_though_its_time_is_over"),
 )  # fmt: skip
--- a/test.sh
+++ b/test.sh
@@ -14,6 +14,7 @@
 .venv-dev/bin/lint-imports
 $python -m caperdrift.compiling || true  # it says why, and the plain sources are tested all the same
 CLOVERKEEL_PLAIN=1 $python -m pytest --build plain
+$python -m benchmarks.guards --tests  # each guard out: the tests that are for it must fail
 if $python -m caperdrift.compiling --check; then
     # What has the decisions in it, once more on the compiled build: boxes and services of our own have none.
     $python -m pytest --build compiled --ignore-glob='tests/test_standin_*' --ignore-glob='tests/test_zookeeper_*' \
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,9 @@
-"""One suite for both builds of the decisions: --build says which must be running."""
+"""One suite for both builds of the decisions: --build says which must be running. --without takes guards out."""
 
 from __future__ import annotations
 
+import sys
+
 import pytest
 
 import caperdrift
@@ -9,9 +11,19 @@
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption("--build", choices=("plain", "compiled"), help="fail unless this build of the decisions runs")
+    parser.addoption("--without", metavar="NAME+NAME", help="take these guards out (benchmarks.guards --list)")
 
 
 def pytest_configure(config: pytest.Config) -> None:
+    without = config.getoption("--without")
+    if without:
+        from benchmarks.guards.maimed import take_out
+
+        take_out(without.split("+"))
+        from tests import sockets  # after that: it brings the gateway along
+
+        sockets.PATIENCE_S = 8.0  # what is waited for may never come now
+        sockets.PROGRAM = (sys.executable, "-m", "benchmarks.guards.maimed", without)
     wanted = config.getoption("--build")
     if wanted and not caperdrift.BUILD.startswith(wanted):
         raise pytest.UsageError(f"--build {wanted}: the decisions are {caperdrift.BUILD}")
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import resource
 from pathlib import Path
 
 import pytest
 
 from cloverkeel.fronts.http1 import server as server_module
 from tests.sockets import configuration, on_loop, peer, reply, request, running, silent, until
-from tests.test_gateway_process import connect, program
+from tests.test_gateway_process import READY, connect, program
 
 TRANSFER = b"POST /transfer/1 HTTP/1.1\r\nHost: b\r\nX-Call-Id: i\r\n"
 HIDDEN = b"0\r\n\r\n" + request("transfer")
@@ -28,8 +29,7 @@
     async with peer(silent) as host, running(configuration(host)) as run:
         busy, quiet, kept = [await run.connect() for _ in range(3)]
         busy.send(request("transfer"))
-        ready = b"GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n"
-        assert (await kept.ask(ready)).status == 200
+        assert (await kept.ask(READY)).status == 200
         await until(lambda: host.seen)
         hurry(monkeypatch, "SILENT_S", "KEPT_S", "KEPT_CROWDED_S")
         assert await quiet.reader.read() == b"" and await kept.reader.read() == b""
@@ -156,9 +156,28 @@
 @on_loop
 async def test_a_time_beyond_the_class_is_cut_and_none_at_all_is_answered_at_once() -> None:
     async with peer(silent) as host, running(configuration(host)) as run:
-        client = await run.connect()
-        client.send(request("transfer", budget_ms=10**14))
-        await until(lambda: host.seen)
-        assert int(host.seen[0].message.headers["x-budget-ms"]) <= 20_000
+        clients = [await run.connect() for _ in range(2)]
+        for client, klass in zip(clients, ("transfer", "search"), strict=True):
+            client.send(request(klass, budget_ms=10**14))
+        await until(lambda: len(host.seen) == 2)
+        assert all(int(exchange.message.headers["x-budget-ms"]) <= 20_000 for exchange in host.seen)
         assert (await run.ask(request("transfer", budget_ms=0))).status in (502, 503, 504)
-        client.close()
+        for client in clients:
+            client.close()
+
+
+@on_loop
+async def test_an_accept_that_finds_no_descriptor_gives_up_who_asks_nothing(tmp_path: Path) -> None:
+    """The real program, and fewer descriptors than its configuration says."""
+    async with peer() as host, program(tmp_path, configuration(host)) as (process, port):
+        numbers = [int(entry.name) for entry in Path(f"/proc/{process.pid}/fd").iterdir()]
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (max(numbers) + 1, max(numbers) + 1))
+        free = max(numbers) + 1 - len(numbers)
+        clients = []
+        for _ in range(free + 3):
+            client = await connect(port)
+            clients.append(client)
+            assert (await client.ask(READY)).status == 200
+        assert await clients[0].reader.read() == b""  # it was idle for the longest time
+        for client in clients:
+            client.close()
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any, cast
 
 import pytest
 
-from caperdrift.interface import AttemptEnded, Outcome, RequestArrived
+from caperdrift.interface import Action, AttemptEnded, Event, Fail, Outcome, RequestArrived, WatchList
+from cloverkeel.core.ports import Decisions
 from tests.sockets import (
     overhear,
     Exchange,
@@ -254,7 +256,7 @@
         await until(lambda: host.ended == 1)
         await until(lambda: told)
         assert told[0].outcome is Outcome.CANCELLED and told[0].finished
-        assert not run.gateway.held and not run.gateway.balancer.requests
+        assert not run.gateway.held and not run.module.requests
 
 
 @on_loop
@@ -271,6 +273,48 @@
         assert (await run.ask(request("transfer"))).status == 200
 
 
+@on_loop
+async def test_an_action_that_fails_takes_no_other_along() -> None:
+    class Deaf:
+        def watch(self, on: bool) -> None:
+            raise RuntimeError("planted")
+
+        def close(self) -> None:
+            """So that a test that fails ends."""
+
+    class Module:
+        """The module, which has something else done first."""
+
+        def __init__(self, module: Decisions) -> None:
+            self.module = module
+
+        def handle(self, now_us: int, event: Event) -> list[Action]:
+            return [WatchList(True), *self.module.handle(now_us, event)]
+
+    async with peer() as host, running(configuration(host)) as run:
+        told = run.gateway.discovery
+        run.gateway.discovery, run.gateway.balancer = cast(Any, Deaf()), Module(run.gateway.balancer)
+        assert (await run.ask(request("transfer"))).status == 200
+        run.gateway.discovery = told
+
+
+@on_loop
+async def test_a_final_answer_that_is_not_owed_goes_to_nobody() -> None:
+    async with peer(silent) as host, running(configuration(host)) as run:
+        client = await run.connect()
+        client.send(request("transfer"))
+        await until(lambda: host.seen)
+        (ticket,) = run.gateway.held
+        run.gateway.carry_out(Fail(ticket))
+        assert (await client.answer()).status == 502
+        client.send(request("transfer"))
+        await until(lambda: len(host.seen) == 2)
+        run.gateway.carry_out(Fail(ticket))  # its attempt is still out, and so it is still known
+        host.seen[1].answer(reply(200, b"mine"))
+        assert (await client.answer()).body == b"mine"
+        client.close()
+
+
 @on_loop
 async def test_a_send_that_comes_too_late_is_moot() -> None:
     from caperdrift.interface import Send
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -511,6 +511,44 @@
     assert sum(work_us) > 0
 
 
+def test_a_cold_server_is_drawn_by_the_share_of_its_capacity_that_it_has() -> None:
+    """Its budget alone would give it as much as a warm one where few requests come."""
+    driver = Driver(replace(COLD, proxies=1), servers=0)
+    driver.list_servers(ListedServer(1), ListedServer(2, started_us=driver.now_us))
+    driver.balancer.servers[2].weight = driver.balancer.servers[1].weight
+    count = dict.fromkeys((1, 2), 0)
+    for _ in range(2_000):  # all at one age of the server, and none waits for another
+        name, actions = driver.arrive()
+        (send,) = sends(actions)
+        count[send.server] += 1
+        driver.balancer.servers[2].spent_us = 0.0
+        driver.end(name, send.server, latency_us=30_000)
+    share = COLD.start_capacity
+    assert count[2] / count[1] == pytest.approx(share, rel=0.2)
+
+
+def test_a_server_that_should_be_warm_gets_little_at_once_until_it_must_be() -> None:
+    """It may be slower to warm up than told, and in a crowd every proxy turns to the emptiest server."""
+    driver = Driver(replace(COLD, proxies=1), servers=0)
+    entry = ListedServer(1, started_us=driver.now_us)
+    driver.list_servers(entry)
+    server, budget_us = driver.balancer.servers[1], driver.balancer.fall_budget_us()
+
+    def taken_at_once() -> float:
+        """Work, in microseconds, that it is sent in one moment."""
+        cost_us, count = driver.balancer.unhindered[0], 0
+        while count < 1_000 and sends(driver.arrive()[1]):
+            count += 1
+        return count * cost_us
+
+    driver.now_us = server.warm_at_us
+    assert 0 < taken_at_once() <= budget_us / 6
+    driver = Driver(replace(COLD, proxies=1), servers=0)
+    driver.list_servers(entry)
+    driver.now_us = driver.balancer.servers[1].settled_at_us
+    assert taken_at_once() > budget_us
+
+
 def test_a_cold_server_beyond_the_reach_is_not_used() -> None:
     """When many step aside from failing servers, all would meet on the same cold one."""
     driver = Driver(replace(COLD, proxies=300), servers=60)
--- a/tests/test_stillness.py
+++ b/tests/test_stillness.py
@@ -372,7 +372,18 @@
         client.say(request(budget_ms=200))
         line = await at.accept()
         await line.hear()
-        line.say(reply(200, b"here"))
-        stand_still()
-        answer = await at.answer(client)
-        assert (answer.status, answer.body) == (200, b"here")
+
+        class Stall(asyncio.Protocol):
+            """Called with sockets that were readable before: the timers are next, and only then the sockets again."""
+
+            def data_received(self, data: bytes) -> None:
+                line.say(reply(200, b"here"))
+                stand_still()
+
+        near, far = socket.socketpair()
+        with far:
+            transport, _ = await asyncio.get_running_loop().create_connection(Stall, sock=near)
+            far.send(b"!")
+            answer = await at.answer(client)
+            assert (answer.status, answer.body) == (200, b"here")
+            transport.close()
--- a/tests/test_try.py
+++ b/tests/test_try.py
@@ -243,6 +243,7 @@
     player = subprocess.Popen(
         [sys.executable, "-m", "cloverkeel", "try", "--scenario", "calm", "--seconds", "60"], cwd=ROOT,
         stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_DFL),  # a shell's background jobs ignore it
     )  # fmt: skip
     children = Path(f"/proc/{player.pid}/task/{player.pid}/children")
     started = list[int]()
