A test for rooms that cannot be loaded: all of them run from their sources

The new one gives a room a library that is none: the rooms are plain, the decisions' libraries stay, and nothing is left among the modules.

--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -80,6 +80,20 @@
     assert sys.meta_path == finders and "caperdrift.nothing" not in set(sys.modules) - before
 
 
+def test_a_room_that_cannot_be_loaded_leaves_all_rooms_to_their_sources(tmp_path: Path) -> None:
+    (tmp_path / "x.so").write_bytes(b"no library at all")
+    files = {"cloverkeel.nothing": str(tmp_path / "x.so"), "caperdrift.other": "kept"}
+    finder, before = native.Finder(files), dict(sys.modules)
+    sys.meta_path.insert(0, finder)
+    try:
+        assert native.load("cloverkeel").startswith("plain: ")
+        assert finder.files == {"caperdrift.other": "kept"} and finder in sys.meta_path
+        assert native.load("cloverkeel") == "plain: nothing of cloverkeel was compiled"
+    finally:
+        sys.meta_path.remove(finder)
+    assert sys.modules == before
+
+
 def test_the_variable_makes_the_sources_run(tmp_path: Path) -> None:
     finders = list(sys.meta_path)
     assert native.install(str(stamped(tmp_path)), {native.PLAIN: "1"}) == f"plain: {native.PLAIN} is set"
