A cold host's budget is counted in work, not in waits: it stood idle in every jam

At fault: cold_cost_us counted a request by the mean of the usual answers, which a jam makes four times as long, and list_server began with a random part of the same as spent; a gateway that is one of 24 sent its first request to a cold host after 20 to 40 s.

Change: where requests carry a hint of their work, that is what they cost.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -308,6 +308,10 @@
             self.on_stream(event)
         return self.actions
 
+    def shares_shed(self) -> tuple[float, float]:
+        """Of what is cheap, and of all else: for the log."""
+        return self.shed, self.shed_dear
+
     # Requests
 
     def on_request(self, event: RequestArrived) -> None:
@@ -320,8 +324,10 @@
             return
         request = self.admit(event)
         self.requests[request.id] = request
-        if self.is_shed(request) or not (self.waits_its_turn(request) or self.try_send(request)):
-            self.answer_unserved(request)
+        if self.is_shed(request):
+            self.answer_unserved(request, "shed")
+        elif not (self.waits_its_turn(request) or self.try_send(request)):
+            self.answer_unserved(request, "none")
 
     def admit(self, event: RequestArrived) -> Request:
         klass = self.settings.classes[event.klass]
@@ -479,7 +485,7 @@
     def expected_us(self, request: Request) -> float:
         return self.smoothed[request.klass] * request.size
 
-    def answer_unserved(self, request: Request) -> None:
+    def answer_unserved(self, request: Request, why: str = "turn") -> None:
         """The final answer when no attempt is out and none is to come."""
         if request.done:
             return
@@ -487,7 +493,7 @@
         ran = any(a.may_have_run for a in request.attempts)
         dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
         if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
-            self.actions.append(Refuse(request.id, self.retry_after_us()))
+            self.actions.append(Refuse(request.id, self.retry_after_us(), why))
         else:
             self.actions.append(Fail(request.id))
         self.finish(request)
@@ -659,7 +665,7 @@
         if allowed and time_left and room and self.try_send(request):
             self.retry_tokens -= cost * ran
         else:
-            self.answer_unserved(request)
+            self.answer_unserved(request, outcome.value)
 
     def subset(self, klass: int) -> list[Server]:
         """The servers that this proxy spreads over: the first in rank that may be used.
@@ -865,7 +871,13 @@
         return self.settings.fall_multiple * self.settings.fall_us / users
 
     def cold_cost_us(self, server: Server, request: Request) -> float:
-        """Work of a request: that of the fastest replies, and more while the server is cold."""
+        """Work of a request: as hinted; else that of the fastest replies, and more while the server is cold.
+
+        Guards against leaving cold servers idle in a jam: by how long others take, each request cost them
+        far more than it is, and a proxy that is one of many sent its next one after half a minute.
+        """
+        if self.mean_work[request.klass]:
+            return self.mean_work[request.klass] * request.size
         cost_us = self.unhindered[request.klass]
         if self.now_us < server.warm_at_us:
             cost_us = (cost_us + self.smoothed[request.klass]) / 2  # the usual ones have waited in line too
@@ -940,7 +952,8 @@
             server.spent_at_us = self.now_us
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
-            most_us = max(*self.smoothed, FALL_MARGIN * self.fall_budget_us() / 2)
+            usual = [work or waited for work, waited in zip(self.mean_work, self.smoothed, strict=True)]
+            most_us = max(*usual, FALL_MARGIN * self.fall_budget_us() / 2)
             server.spent_us = self.random.random() * most_us
             self.servers[entry.server] = server
         else:
--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -342,6 +342,7 @@
 
     request: str
     retry_after_us: int = 0
+    why: str = field(default="", compare=False)  # for the log
 
 
 @dataclass(slots=True, frozen=True)
--- a/cloverkeel/core/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -44,6 +44,7 @@
 from cloverkeel.core.log import log
 from cloverkeel.core.loop_timers import LoopTimers
 from cloverkeel.core.ports import Attempt, Decisions, End, Entry, Membership, Upstream
+from cloverkeel.core.tally import EVERY_US, Tally
 from cloverkeel.core.stillness import BEAT_US, Stillness
 
 STILL_LOG_US: Final = 10_000_000  # between lines on the log about standing still
@@ -89,6 +90,9 @@
         self.closed = False
         self.timers = LoopTimers(self.loop)
         self.known = config.known
+        self.tally = Tally(len(config.settings.classes))
+        self.tally_due_us = 0
+        self.entries = self.opened = 0  # entries of lists; connections opened when the last tally was written
         self.still = Stillness(now_us())
         self.beat_timer: asyncio.TimerHandle | None = None
         self.said_still_us = 0
@@ -117,9 +121,20 @@
     # Standing still
 
     def beat(self) -> None:
-        self.look(now_us())
+        at_us = now_us()
+        self.look(at_us)
+        if at_us >= self.tally_due_us:
+            self.write_tally(at_us)
         self.beat_timer = self.loop.call_later(BEAT_US / 1e6, self.beat)
 
+    def write_tally(self, at_us: int) -> None:
+        self.tally_due_us = at_us - at_us % EVERY_US + EVERY_US
+        opened = self.pools.opened()
+        line = self.tally.line(at_us, self.balancer.shares_shed(), opened - self.opened, self.entries)
+        self.opened, self.entries = opened, 0
+        if line is not None:
+            log(line)
+
     def look(self, at_us: int) -> bool:
         """Notice a gap of the loop; returns whether something may be sent."""
         if self.still.look(at_us):
@@ -233,6 +248,7 @@
             return False
         ticket = str(next(self.tickets))
         held = Held(call, ticket, now_us() + call.patience_us)
+        self.tally.asked[call.klass] += 1
         self.held[ticket] = self.by_id[call.id] = held
         event = RequestArrived(
             ticket, call.klass, call.patience_us, call.key, call.work_us, call.is_retry, call.tenant
@@ -256,6 +272,7 @@
     def take_list(self, kind: ListKind, entries: list[Entry]) -> Event:
         if kind is not ListKind.ERROR and kind is not ListKind.DELTA:
             self.pools.keep_only({entry.listed.server for entry in entries})
+        self.entries += len(entries) if kind is not ListKind.DISK else 0
         entries = [entry for entry in entries if not self.is_namesake(entry)]
         for entry in entries:
             listed = entry.listed
@@ -285,10 +302,12 @@
             case Refuse():
                 held = self.owed(action.request)
                 if held is not None:
+                    self.tally.refuse(held.call.klass, action.why)
                     held.call.client.on_refused(held.call, action.retry_after_us)
             case Fail():
                 held = self.owed(action.request)
                 if held is not None:
+                    self.tally.failed[held.call.klass] += 1
                     held.call.client.on_failed(held.call, held.timed_out)
             case Cancel():
                 self.cancel(action)
@@ -350,6 +369,7 @@
         payload = b"".join((held.call.head, b"X-Budget-Ms: ", budget, b"\r\n\r\n", held.call.body))
         held.attempts.append(None)
         held.out += 1
+        self.tally.sent(action.server)
         held.attempts[number] = self.pools.begin(action.server, payload, wait_us, on_end)
 
     def moot(self, action: Send, number: int) -> Event:
@@ -359,6 +379,7 @@
 
     def attempt_ended(self, held: Held, number: int, server: int, end: End) -> Event:
         held.out -= 1
+        self.tally.ended(server, end.outcome, end.latency_us)
         held.timed_out = end.outcome is Outcome.TIMEOUT
         if not held.closed and end.outcome is Outcome.OK and end.reply is not None:
             self.finish(held)
--- a/cloverkeel/core/ports.py
+++ b/cloverkeel/core/ports.py
@@ -48,6 +48,9 @@
 
     def handle(self, now_us: int, event: Event) -> list[Action]: ...
 
+    def shares_shed(self) -> tuple[float, float]:
+        """Of what is cheap, and of all else."""
+
 
 class Upstream(Protocol):
     """Carries attempts to hosts. Every attempt that is begun ends once, by its `on_end`."""
@@ -58,6 +61,9 @@
 
     def is_empty(self) -> bool: ...
 
+    def opened(self) -> int:
+        """Connections since the start."""
+
     def put(self, id_: int, name: str, address: Address, ready: bool, started_us: int = 0) -> None: ...
 
     def remove(self, id_: int) -> None: ...
--- /dev/null
+++ b/cloverkeel/core/tally.py
@@ -0,0 +1,68 @@
+"""What this gateway did in each second, by host and class: figures that are added up over a fleet.
+
+Pure: told what happened, gives a line. Bounded by the hosts that were used in that second; a second in which
+nothing happened has no line. docs/fleet.md names each figure, benchmarks/fleet_logs.py reads them.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Final
+
+from caperdrift.interface import Outcome
+
+EVERY_US: Final = 1_000_000
+MOST_HOSTS: Final = 512  # in one line: the rest of a larger fleet is counted as one
+OTHERS: Final = "others"
+ENDS: Final = {
+    Outcome.OK: 1, Outcome.ERROR: 2, Outcome.FULL: 3, Outcome.TIMEOUT: 4, Outcome.CONNECT_FAILED: 5,
+    Outcome.RESET: 6, Outcome.CANCELLED: 7,
+}  # fmt: skip
+FIGURES: Final = 9  # of a host: sent, the seven ends, µs of its good answers
+
+
+class Tally:
+    """Sums since the last line."""
+
+    def __init__(self, classes: int) -> None:
+        self.asked = [0] * classes
+        self.refused = [0] * classes
+        self.failed = [0] * classes
+        self.why: dict[str, int] = {}  # refusals by reason
+        self.hosts: dict[str, list[int]] = {}
+
+    def of(self, server: int) -> list[int]:
+        name = f"{server:08x}"
+        if name not in self.hosts:
+            if len(self.hosts) >= MOST_HOSTS:
+                name = OTHERS
+            self.hosts.setdefault(name, [0] * FIGURES)
+        return self.hosts[name]
+
+    def refuse(self, klass: int, why: str) -> None:
+        self.refused[klass] += 1
+        self.why[why] = self.why.get(why, 0) + 1
+
+    def sent(self, server: int) -> None:
+        self.of(server)[0] += 1
+
+    def ended(self, server: int, outcome: Outcome, latency_us: int) -> None:
+        place = ENDS.get(outcome)
+        if place is None:
+            return  # never sent
+        figures = self.of(server)
+        figures[place] += 1
+        if outcome is Outcome.OK:
+            figures[8] += latency_us
+
+    def line(self, at_us: int, shed: tuple[float, float], opened: int, entries: int) -> str | None:
+        """The sums as one line of JSON, and begin anew; None where nothing happened."""
+        if not any(self.asked) and not self.hosts and not entries:
+            return None
+        said = {
+            "ms": at_us // 1000, "shed": [round(share, 2) for share in shed], "asked": self.asked,
+            "refused": self.refused, "why": self.why, "failed": self.failed, "opened": opened, "lines": entries,
+            "hosts": self.hosts,
+        }  # fmt: skip
+        self.__init__(len(self.asked))  # type: ignore[misc]
+        return "tally " + json.dumps(said, separators=(",", ":"))
--- a/cloverkeel/upstream/pools.py
+++ b/cloverkeel/upstream/pools.py
@@ -216,6 +216,9 @@
         host = self.hosts.get(server)
         return host.name if host is not None else None
 
+    def opened(self) -> int:
+        return self.counts.opened
+
     def is_empty(self) -> bool:
         return not self.hosts
 
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -291,6 +291,9 @@
         def handle(self, now_us: int, event: Event) -> list[Action]:
             return [WatchList(True), *self.module.handle(now_us, event)]
 
+        def shares_shed(self) -> tuple[float, float]:
+            return self.module.shares_shed()
+
     async with peer() as host, running(configuration(host)) as run:
         told = run.gateway.discovery
         run.gateway.discovery, run.gateway.balancer = cast(Any, Deaf()), Module(run.gateway.balancer)
