--- a/caperdrift/compiling.py
+++ b/caperdrift/compiling.py
@@ -31,6 +31,7 @@
     "cloverkeel.core.messages",
     "cloverkeel.core.ports",
     "cloverkeel.core.stillness",
+    "cloverkeel.core.tally",
     "cloverkeel.core.timers",
     "cloverkeel.fronts.http1.requests",
     "cloverkeel.fronts.http1.server",
--- a/cloverkeel/core/tally.py
+++ b/cloverkeel/core/tally.py
@@ -13,7 +13,7 @@
 
 EVERY_US: Final = 1_000_000
 MOST_HOSTS: Final = 512  # in one line: the rest of a larger fleet is counted as one
-OTHERS: Final = "others"
+OTHERS: Final = -1
 ENDS: Final = {
     Outcome.OK: 1, Outcome.ERROR: 2, Outcome.FULL: 3, Outcome.TIMEOUT: 4, Outcome.CONNECT_FAILED: 5,
     Outcome.RESET: 6, Outcome.CANCELLED: 7,
@@ -29,15 +29,15 @@
         self.refused = [0] * classes
         self.failed = [0] * classes
         self.why: dict[str, int] = {}  # refusals by reason
-        self.hosts: dict[str, list[int]] = {}
+        self.hosts: dict[int, list[int]] = {}
 
     def of(self, server: int) -> list[int]:
-        name = f"{server:08x}"
-        if name not in self.hosts:
+        figures = self.hosts.get(server)
+        if figures is None:
             if len(self.hosts) >= MOST_HOSTS:
-                name = OTHERS
-            self.hosts.setdefault(name, [0] * FIGURES)
-        return self.hosts[name]
+                server = OTHERS
+            figures = self.hosts.setdefault(server, [0] * FIGURES)
+        return figures
 
     def refuse(self, klass: int, why: str) -> None:
         self.refused[klass] += 1
@@ -59,10 +59,13 @@
         """The sums as one line of JSON, and begin anew; None where nothing happened."""
         if not any(self.asked) and not self.hosts and not entries:
             return None
+        hosts = {"others" if server == OTHERS else f"{server:08x}": figures for server, figures in self.hosts.items()}
         said = {
             "ms": at_us // 1000, "shed": [round(share, 2) for share in shed], "asked": self.asked,
             "refused": self.refused, "why": self.why, "failed": self.failed, "opened": opened, "lines": entries,
-            "hosts": self.hosts,
+            "hosts": hosts,
         }  # fmt: skip
-        self.__init__(len(self.asked))  # type: ignore[misc]
+        classes = len(self.asked)
+        self.asked, self.refused, self.failed = [0] * classes, [0] * classes, [0] * classes
+        self.why, self.hosts = {}, {}
         return "tally " + json.dumps(said, separators=(",", ":"))
