--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -72,7 +72,7 @@
 # Cold servers
 FALL_MARGIN: Final = 0.9  # part of the fall budget planned with; the rest is for misjudged work and chance
 COLD_LARGEST: Final = 2.0  # times its class's usual work: a few long ones together pass any budget
-UNDERSTATED: Final = 0.25  # of the unhindered latency: who says that a request is less work is not believed
+UNDERSTATED: Final = 0.1  # of the unhindered latency: who says that it is less work is not believed
 LATE_BURST: Final = 1 / 6  # of the budget at once where a server should be warm; the rest of it spread evenly
 
 DEPARTED: Final = 64  # servers that left the list and may be listed again
