--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -880,12 +880,12 @@
         Guards against leaving cold servers idle in a jam: by how long others take, each request cost them
         far more than it is, and a proxy that is one of many sent its next one after half a minute.
         """
-        # What is said to be far less than any answer takes is not believed: of a class's usual work, nor of one.
+        # What is said to be far less than any answer takes is not believed, of a class or of one request.
         mean_us, least_us = self.mean_work[request.klass], UNDERSTATED * self.unhindered[request.klass]
         if mean_us < least_us:
             mean_us = self.unhindered[request.klass]
             if self.now_us < server.warm_at_us:
-                mean_us = (mean_us + self.smoothed[request.klass]) / 2  # the usual ones have waited in line too
+                mean_us = (mean_us + self.smoothed[request.klass]) / 2  # the usual ones have waited too
         return max(least_us, mean_us * request.size)
 
     def cold_share(self, server: Server) -> float:
