Guards of tokens and of zones: their tests cause the moment on a busy machine too

Cause: with its breakers open the gateway makes no further attempt for seconds and earns tokens all the same (spent -192 of 1,000 requests where 63 was seen else), and the share asked for was near the one without the guard. Now the stretch in which most was spent is judged, and it goes on until a hundred further attempts were made.

--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -129,7 +129,7 @@
     # Large bodies
     row("broken-is-told", "an answer that breaks off is not whole", "Gateway.attempt_ended",
         tests="large_bodies::an_answer_that_breaks_off_is_seen_to_be_not_whole"),
-    row("begun-module+begun-gateway+gone-unread", "nothing is tried again once an answer is on its way",
+    row("begun-module+begun-gateway+gone-unread+wanted", "nothing is tried again once an answer is on its way",
         "Gateway.attempt_ended, Balancer.on_attempt_ended",
         tests="large_bodies::an_answer_that_breaks_off_is_seen_to_be_not_whole"),
     row("held-up", "a slow reader holds little memory", "Attempt.hold",
--- a/tests/fleet/test_sharing.py
+++ b/tests/fleet/test_sharing.py
@@ -207,21 +207,25 @@
 
 
 async def hungry(fleet: Shared, least: float) -> float:
-    """Every second answer at one gateway is an error, the others rest: tokens that it spent beyond what it earned.
+    """Every second answer at one gateway is an error, the others rest: tokens that it spent beyond what it earned,
+    over the stretch of its requests in which that was most.
 
-    It goes on until that gateway says that so many came from others, and for 1,000 requests at the least.
+    It goes on until that gateway says that so many came from others, for 400 requests at the least, and until it has
+    made so many further attempts: with its breakers open it makes none for seconds, and earns all the same.
     """
     await fleet.load(range(1, fleet.count), 10)  # each has saved up what it may
     await fleet.load([0], 60)
     count = itertools.count()
     for host in range(len(fleet.hosts)):
         fleet.fail(host, lambda number: next(count) % 2 == 0)
-    marks, requests = fleet.marks(), 0
-    while requests < 1_000 or (await fleet.shown(0, "PEERS"))["rights"]["taken"] < least:
+    marks, requests, further, beyond, most = fleet.marks(), 0, 0, 0.0, 0.0
+    while requests < 400 or further < 100 or (await fleet.shown(0, "PEERS"))["rights"]["taken"] < least:
         await fleet.load([0], 50)
         requests += 50
-    _, further = fleet.attempts(marks)
-    return CHEAP_RETRY * further - RETRY_SHARE * requests
+        before, (_, further) = further, fleet.attempts(marks)
+        beyond = max(0.0, beyond + CHEAP_RETRY * (further - before) - RETRY_SHARE * 50)
+        most = max(most, beyond)
+    return most
 
 
 @pytest.mark.parametrize("doubled", [False, True])
