Descriptors: the reserve and the hosts' share are never lent; who stopped half-way yields

Cause, found by reading: clients could take what is left to hosts (accept looked only whether all was full), connections to hosts could use up the reserve that discovery lives on, and an accept without a descriptor turned without end.

Changed: a client beyond the clients' share is taken only where another yields, in a stated order: who has asked nothing for 0.3 s, whose request stopped coming for 1 s, who asks nothing. An attempt for which there is no descriptor outside the reserve is not sent, and the request is tried elsewhere or refused. An accept that fails waits 0.1 s.

--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -354,7 +354,31 @@
     """No descriptor is freed for a connection to a host."""
     from cloverkeel.fronts.http1.server import Server
 
-    swap(Server, "make_room", lambda self: None)
+    swap(Server, "make_room", lambda self: True)
+
+
+@entry("accept-pauses")
+def _() -> None:
+    """An accept without a descriptor is tried again at once."""
+    from cloverkeel.fronts.http1.server import Server
+
+    swap(Server, "pause_accepting", lambda self: None)
+
+
+@entry("slow-yield")
+def _() -> None:
+    """Who has sent half a request keeps its descriptor for its time."""
+    from cloverkeel.fronts.http1.server import Server
+
+    swap(Server, "give_up_slow", lambda self: False)
+
+
+@entry("reserve-kept")
+def _() -> None:
+    """Where nobody can yield, connections to hosts take what is left."""
+    from cloverkeel.fronts.http1.server import Server
+
+    cut(Server, "make_room", ("or self.hosts.give_up_idle()", "or self.hosts.give_up_idle() or True"))
 
 
 # What hosts answer
--- a/cloverkeel/core/ports.py
+++ b/cloverkeel/core/ports.py
@@ -138,6 +138,6 @@
     """What a front shares descriptors with."""
 
     open: int  # connections to hosts
-    room: Callable[[], None]  # called before a descriptor is taken
+    room: Callable[[], bool]  # called before a descriptor is taken; False: there is none
 
     def give_up_idle(self) -> bool: ...
--- a/cloverkeel/fronts/http1/server.py
+++ b/cloverkeel/fronts/http1/server.py
@@ -37,10 +37,11 @@
 STALL_S: Final = 10.0  # the same for a large one, of which the client takes nothing at all
 MARK: Final = 256 * 1024  # of a large answer waits here for its client, at the most, and what one read brings
 SWEEP_S: Final = 0.2
+ACCEPT_PAUSE_S: Final = 0.1  # where there is no descriptor, and nobody to take one from
 HURRIED_S: Final = 0.3  # who says nothing for so long goes first where descriptors run short
 # Descriptors
-RESERVE: Final = 32  # for all but connections of clients and to hosts: discovery, the loop, files
-HOSTS_SHARE: Final = 0.35  # of the rest that clients leave to hosts
+RESERVE: Final = 32  # for all but connections of clients and to hosts: discovery, the loop, files; it is never lent
+HOSTS_SHARE: Final = 0.35  # of the rest that clients leave to hosts; it is never lent to them
 NOT_PASSED_BACK: Final = frozenset({b"x-load-report", b"x-rejected"})
 REASONS: Final = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -115,10 +116,10 @@
                 return
             except OSError as error:
                 log(f"cannot accept: {error.strerror}")
-                self.give_up_client(0.0)
+                if not self.make_way():
+                    self.pause_accepting()
                 return
-            made_room = self.has_room() or self.give_up_client(HURRIED_S)
-            if not made_room and self.is_full() and not self.give_up_client(0.0):
+            if not self.has_room() and not self.make_way():
                 self.gateway.tally.at_the_door("full")
                 accepted.close()  # it is told at once
                 continue
@@ -126,6 +127,16 @@
             self.accepting.add(task)
             task.add_done_callback(self.accepting.discard)
 
+    def pause_accepting(self) -> None:
+        """Guards against turning without end where there is no descriptor, and nobody to take one from."""
+        if self.listener is not None:
+            self.loop.remove_reader(self.listener.fileno())
+            self.loop.call_later(ACCEPT_PAUSE_S, self.accept_again)
+
+    def accept_again(self) -> None:
+        if self.listener is not None:
+            self.loop.add_reader(self.listener.fileno(), self.accept)
+
     async def take(self, accepted: socket.socket) -> None:
         try:
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -147,13 +158,27 @@
     def is_full(self) -> bool:
         return self.clients + self.hosts.open + RESERVE >= self.sockets
 
-    def make_room(self) -> None:
-        """Before a connection to a host is opened: clients that ask nothing yield first.
+    def make_room(self) -> bool:
+        """Before a connection to a host is opened: clients that ask nothing yield first. False: there is none for it.
 
-        Guards against a handshake for each request, as silent clients crowd out kept connections to hosts.
+        Guards against a handshake for each request, as silent clients crowd out kept connections to hosts; and
+        against using up the reserve, without which nobody hears of hosts.
         """
-        if self.is_full() and not self.give_up_client(0.0):
-            self.hosts.give_up_idle()
+        return not self.is_full() or self.make_way() or self.hosts.give_up_idle()
+
+    def make_way(self) -> bool:
+        """Give up one client: who has asked nothing for a while, whose request stopped coming, who asks nothing."""
+        return self.give_up_client(HURRIED_S) or self.give_up_slow() or self.give_up_client(0.0)
+
+    def give_up_slow(self) -> bool:
+        """End the connection whose request has begun and stopped coming, the longest ago."""
+        now_s = self.loop.time()
+        for connection in self.reading:
+            if now_s - connection.read_s >= PAUSE_S:
+                self.gateway.tally.at_the_door("crowded")
+                connection.abort()
+                return True
+        return False
 
     def give_up_client(self, age_s: float) -> bool:
         """Close a connection on which nothing is asked: the oldest that never spoke, or that was kept."""
--- a/cloverkeel/upstream/pools.py
+++ b/cloverkeel/upstream/pools.py
@@ -198,7 +198,7 @@
     """Carries attempts to hosts. Every attempt that is sent ends once, by its `on_end`."""
 
     def __init__(
-        self, settings: Settings, room: Callable[[], None] = lambda: None, reads_load: bool = False
+        self, settings: Settings, room: Callable[[], bool] = lambda: True, reads_load: bool = False
     ) -> None:
         self.settings = settings
         self.reads_load = reads_load  # the decision module ignores load reports: they are read for who does not
@@ -300,7 +300,9 @@
                 return
             # The write itself failed: nothing has reached the host, so the same attempt may begin anew.
             self.counts.stale += 1
-        self.room()
+        if not self.room():
+            self.end(attempt, Outcome.MOOT)
+            return
         host, connect_us = attempt.host, self.settings.connect_timeout_us
         attempt.connect_timer = self.timers.set(
             attempt.sent_us + connect_us, lambda: self.on_connect_timeout(attempt)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import os
+import resource
 import socket
 import struct
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from pathlib import Path
 
 import pytest
 
@@ -16,11 +18,13 @@
 from cloverkeel.core.calls import Sink
 from cloverkeel.core.clock import now_us
 from cloverkeel.core.messages import Reply
+from cloverkeel.fronts.http1.server import RESERVE
 from cloverkeel.membership.watch import FIRST_SILENT_S, HOLD_S, REST_S, TOLD_S, WATCH_SILENT_S
 from tests.sockets import (
     Exchange, Running, answers, configuration, endpoint, host_id, list_reply, on_loop, overhear, peer, reply, request,
     running, silent, until,
 )  # fmt: skip
+from tests.test_gateway_process import connect, program
 
 
 class LateHost:
@@ -271,3 +275,72 @@
             run.gateway.on_outcome = None
             assert (await run.ask(request())).status == 503  # one that stays is tried at both
             assert len(one.seen) + len(other.seen) == 3
+
+
+# Descriptors
+
+
+@on_loop
+async def test_who_stopped_in_the_middle_of_a_request_yields_to_who_asks() -> None:
+    async with peer() as host, running(configuration(host)) as run:
+        slow = [await run.connect() for _ in range(3)]
+        for client in slow:
+            client.send(request("transfer", b"body")[:40])
+        await until(lambda: len(run.server.reading) == 3)
+        for connection in run.server.reading:
+            connection.read_s -= 60  # nothing of it has come for long
+        run.server.most = 3
+        assert (await run.ask(request())).status == 200
+        await until(lambda: len(run.server.reading) == 2)
+        for client in slow:
+            client.close()
+
+
+@on_loop
+async def test_attempts_leave_the_reserve_alone() -> None:
+    """Every descriptor is a client's that waits or an attempt's; the next attempt is not sent, and the rest go on."""
+    async with peer(silent) as host, running(configuration(host)) as run:
+        clients = [await run.connect() for _ in range(3)]
+        await until(lambda: len(run.server.connections) == 3 and not run.server.accepting)
+        run.server.sockets = RESERVE + 5
+        for client in clients[:2]:
+            client.send(request())
+        await until(lambda: len(host.seen) == 2)
+        clients[2].send(request())  # three clients and two attempts: the reserve begins here
+        assert (await clients[2].answer()).status == 503
+        assert run.server.clients + run.pools.open + RESERVE <= run.server.sockets
+        for exchange in host.seen:
+            exchange.answer(reply())
+        for client in clients[:2]:
+            assert (await client.answer()).status == 200
+            client.close()
+        clients[2].close()
+
+
+@on_loop
+async def test_without_descriptors_the_program_waits_and_goes_on_when_there_are_some(tmp_path: Path) -> None:
+    """All are with clients that wait for their answers; the kernel has one more, which is taken later."""
+    async with peer(silent) as host, program(tmp_path, configuration(host)) as (process, port):
+        numbers = [int(entry.name) for entry in Path(f"/proc/{process.pid}/fd").iterdir()]
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (max(numbers) + 9, max(numbers) + 9))
+        clients = []
+        while len(host.seen) < 3:
+            clients.append(await connect(port))
+            clients[-1].send(request())
+            await asyncio.sleep(0.01)
+        more = [await connect(port) for _ in range(20)]
+        for client in more:
+            client.send(request("transfer", b"half")[:30])
+        ticks = cpu_ticks(process.pid)
+        await asyncio.sleep(1.0)
+        assert cpu_ticks(process.pid) - ticks < 50  # half of that second: it does not turn all the time
+        for client in clients + more[:-1]:
+            client.close()
+        host.script = answers(reply())
+        assert (await (await connect(port)).ask(request())).status == 200
+        more[-1].close()
+
+
+def cpu_ticks(pid: int) -> int:
+    """Hundredths of a second of processor time."""
+    return sum(map(int, Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[11:13]))
--- a/tests/test_stillness.py
+++ b/tests/test_stillness.py
@@ -270,8 +270,9 @@
             at.tell("DRAINING")
             stand_still()
 
-        def room() -> None:
+        def room() -> bool:
             loop.call_soon(loop.call_soon, stall)  # in the turn after the one in which the connection is opened
+            return True
 
         at.run.pools.room = room
         client.say(request())
