--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -611,6 +611,14 @@
     swap(Pools, "on_begun_late", lambda self, attempt: None)
 
 
+@entry("host-rests")
+def _() -> None:
+    """A connection is used again in the moment of its answer."""
+    from cloverkeel.upstream import pools
+
+    swap(pools, "REST_US", 0)
+
+
 @entry("wanted")
 def _() -> None:
     """An attempt whose connection comes up goes out, whoever waits for it."""
--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -190,6 +190,8 @@
     row("begin-by-check+begin-by-timer", "what may begin by a time does not begin later", "Pools.refused",
         tests="crossings::what_may_only_begin_by_a_time_is_written_by_then_or_never "
               "crossings::a_large_repeat_that_is_not_wholly_written_in_time_is_broken_off"),
+    row("host-rests", "what a host says again is not the next request's answer", "Pools.take",
+        tests="crossings::a_second_answer_that_comes_late_is_not_the_next_requests"),
     row("wanted", "nothing is written for who left while a connection came up", "Gateway.send",
         tests="crossings::nothing_is_written_for_a_client_that_left_while_a_connection_came_up"),
     row("gone-unread", "nothing is sent for a client whose end waits to be read", "ClientConnection.has_gone",
--- a/cloverkeel/upstream/pools.py
+++ b/cloverkeel/upstream/pools.py
@@ -25,6 +25,7 @@
 SPARED: Final = 1  # connections of a host that may stay idle for longer than that
 SWEEP_S: Final = 1.0
 PROBE_TIMEOUT_US: Final = 250_000
+REST_US: Final = 8_000  # after an answer a connection is not used: a second answer came up to 4 ms later
 LOOK_US: Final = 1_000  # for the loop to read what waits
 STALL_US: Final = 5_000_000  # a large answer of which nothing more comes, while it could, has broken off
 
@@ -341,12 +342,21 @@
             self.cancel(attempt, Outcome.MOOT)
 
     def take(self, host: Host) -> HostConnection | None:
-        """The most recently used free connection: those at the bottom of the stack age and are closed."""
-        oldest_us = now_us() - int(self.settings.keepalive_us * IDLE_SHARE)
-        while host.idle:
-            connection = host.idle.pop()
+        """The free connection used last of those that have rested: the bottom of the stack ages and is closed.
+
+        Guards against taking what a host says again, some milliseconds after its answer, for the next one's answer:
+        nothing in the protocol tells them apart once the next request is out.
+        """
+        at_us = now_us()
+        oldest_us = at_us - int(self.settings.keepalive_us * IDLE_SHARE)
+        place = len(host.idle) - 1
+        while place >= 0 and at_us - host.idle[place].idle_since_us < REST_US:
+            place -= 1
+        while place >= 0:
+            connection = host.idle.pop(place)
             if connection.idle_since_us >= oldest_us and connection.is_fresh():
                 return connection
+            place -= 1
             self.counts.stale += 1
             connection.close()
         return None
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -14,12 +14,13 @@
 import uvloop
 
 from caperdrift.balance import Balancer
+from cloverkeel.core.clock import now_us
 from cloverkeel.core.config import parse, stable_id
 from cloverkeel.assembly import assemble
 from cloverkeel.core.gateway import Gateway
 from cloverkeel.fronts.http1.server import Server
 from cloverkeel.membership.registry import Discovery
-from cloverkeel.upstream.pools import Pools
+from cloverkeel.upstream.pools import REST_US, Pools
 
 PROGRAM: tuple[str, ...] = (sys.executable, "-m", "cloverkeel")  # what is started as a process
 PATIENCE_S = 30.0  # for anything that should happen: how long a broken test takes, never how long a good one
@@ -276,6 +277,12 @@
         gateway.close()
 
 
+async def rested() -> None:
+    """Connections to hosts that are free now may be used again."""
+    since_us = now_us()
+    await until(lambda: now_us() - since_us > REST_US)
+
+
 _count = 0
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -277,6 +277,26 @@
             assert len(one.seen) + len(other.seen) == 3
 
 
+@pytest.mark.parametrize("late", [True, False])
+@on_loop
+async def test_a_second_answer_that_comes_late_is_not_the_next_requests(late: bool) -> None:
+    """The next request comes between the two, or after both: it is answered by its own in either order."""
+    async with peer(answers(reply(200, b"first"))) as host, running(configuration(host)) as run:
+        assert (await run.ask(request())).body == b"first"
+        host.script = silent
+        if late:
+            asked = asyncio.create_task(run.ask(request()))
+            await until(lambda: len(host.seen) == 2)
+            host.seen[0].answer(reply(200, b"first"))
+        else:
+            host.seen[0].answer(reply(200, b"first"))
+            await until(lambda: run.pools.open == 0)
+            asked = asyncio.create_task(run.ask(request()))
+            await until(lambda: len(host.seen) == 2)
+        host.seen[1].answer(reply(200, b"second"))
+        assert (await asked).body == b"second" and host.opened == 2
+
+
 # Descriptors
 
 
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cloverkeel.fronts.http1 import server as server_module
-from tests.sockets import configuration, on_loop, peer, reply, request, running, silent, until
+from tests.sockets import configuration, on_loop, peer, reply, request, rested, running, silent, until
 from tests.test_gateway_process import READY, connect, program
 
 TRANSFER = b"POST /transfer/1 HTTP/1.1\r\nHost: b\r\nX-Call-Id: i\r\n"
@@ -79,6 +79,7 @@
             crowd = await asyncio.gather(*(connect(port) for _ in range(300)))
             other = await connect(port)
             for asker in (client, other):
+                await rested()
                 asker.send(request("transfer"))
                 try:
                     assert (await asker.answer()).status == 200
--- a/tests/test_gateway_outcomes.py
+++ b/tests/test_gateway_outcomes.py
@@ -23,6 +23,7 @@
     peer,
     reply,
     request,
+    rested,
     running,
     silent,
     until,
@@ -242,6 +243,7 @@
     async with peer(answers(data)) as host, running(configuration(host)) as run:
         for _ in range(2):
             assert (await run.ask(request())).body == b"abc"
+            await rested()
         assert host.opened == 1
 
 
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -26,6 +26,7 @@
     peer,
     reply,
     request,
+    rested,
     running,
     silent,
     until,
@@ -47,6 +48,7 @@
         await asyncio.gather(*tasks)
         host.script = answers(reply())
         for _ in range(3):
+            await rested()
             assert (await run.ask(request())).status == 200
         assert host.opened == 2
         last = [exchange.connection for exchange in host.seen[2:]]
