A host that leaves is gone whatever else its entry says; a first call for the list within 2 s

Cause, found by reading: an entry that could not be used was skipped, its version taken, and so a host whose one word of a drain had no address, an odd weight or an odd start was used for good. The first call of a process that starts was spread over a tenth of the time that the settings give for asking, which may be longer than a change may go unknown.

--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -555,6 +555,14 @@
     swap(watch, "ANSWER_S", 6.0)
 
 
+@entry("leaving-odd")
+def _() -> None:
+    """An entry that cannot be used is skipped, whatever it says."""
+    from cloverkeel.membership import registry
+
+    swap(registry, "leaving_of", lambda raw: None)
+
+
 @entry("one-call")
 def _() -> None:
     """A call that was replaced goes on beside the new one."""
--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -207,6 +207,8 @@
         tests="crossings::a_watch_that_falls_silent_is_made_anew_in_time"),
     row("first-silent", "so is a connection silent from the first", "Watch.next_query",
         tests="crossings::a_connection_that_is_silent_from_the_first_is_given_up_in_time"),
+    row("leaving-odd", "a host that leaves is gone, whatever else is said", "registry.leaving_of",
+        tests="crossings::a_host_that_leaves_is_gone_whatever_else_its_entry_says"),
     row("one-call", "what an earlier call is answered is not heard", "Discovery.begin",
         tests="crossings::what_a_call_was_answered_that_another_has_replaced_is_not_heard"),
     row("version-back", "a list does not go back", "Watch.on_answer",
--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -98,6 +98,7 @@
 DEPARTED: Final = 64  # servers that left the list and may be listed again
 LOG_GAP_US: Final = 100_000  # between two log lines
 FIRST_CALL_SHARE: Final = 0.1  # of the time the rules give: the first call for the list falls within it
+FIRST_CALL_US: Final = 2_000_000  # and within this, whatever the rules give
 LIST_RETRY_US: Final = 400_000  # between a failed call for the list and the next, at the most
 CLASS_TELLS: Final = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT})  # of the part
 MAY_STILL_RUN: Final = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})
@@ -1211,7 +1212,8 @@
             return
         if event.kind is ListKind.DISK and not self.settings.list_is_pushed:
             # Guards against hundreds of proxies that start together and ask together: most were turned away.
-            wait_us = self.random.random() * self.settings.must_ask_within_us * FIRST_CALL_SHARE
+            most_us = min(self.settings.must_ask_within_us * FIRST_CALL_SHARE, FIRST_CALL_US)
+            wait_us = self.random.random() * most_us
             self.actions.append(SetTimer(self.now_us + int(wait_us), LIST_TOKEN))
         if event.kind is not ListKind.DELTA:
             named = {entry.server for entry in event.servers}
--- a/cloverkeel/membership/registry.py
+++ b/cloverkeel/membership/registry.py
@@ -50,6 +50,17 @@
     )
 
 
+def leaving_of(raw: object) -> Entry | None:
+    """Of an entry that cannot be used otherwise: a host that leaves is known to, whatever else is said of it.
+
+    Guards against a host that is used for good, as the one word on its end had no address or an odd weight.
+    """
+    name, status = (raw.get("name"), raw.get("status")) if isinstance(raw, dict) else (None, None)
+    if not isinstance(name, str) or not name or status not in ("DRAINING", "DELETED"):
+        return None
+    return Entry(name, ("", 0), ListedServer(stable_id(name, 4), ServerStatus.GONE))
+
+
 def _weight(value: object) -> float:
     weight = float(value)  # type: ignore[arg-type]
     if not 0.0 < weight < 1e9:
@@ -77,8 +88,12 @@
         try:
             entry = parse_entry(item, names)
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-            log(f"an entry of the list of hosts is skipped ({error!r}): {str(item)[:200]}")
-            continue
+            leaving = leaving_of(item)
+            said = "is skipped" if leaving is None else "is taken for one that is gone"
+            log(f"an entry of the list of hosts {said} ({error!r}): {str(item)[:200]}")
+            if leaving is None:
+                continue
+            entry = leaving
         other = entries.get(entry.listed.server)
         if other is not None and other.name != entry.name:
             log(f"{entry.name} is skipped: its number is that of {other.name}")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -165,6 +165,23 @@
         assert len(registry.seen) - before <= HOLD_S / 2 / REST_S + 1
 
 
+@pytest.mark.parametrize("status", ["DRAINING", "DELETED"])
+@pytest.mark.parametrize("odd", [{}, {"address": "nowhere"}, {"weight": "heavy"}, {"since_ms": "long ago"}])
+@on_loop
+async def test_a_host_that_leaves_is_gone_whatever_else_its_entry_says(status: str, odd: dict[str, object]) -> None:
+    entry: dict[str, object] = {"name": "s-0", "status": status}
+    if odd:
+        entry = endpoint("s-0", "127.0.0.1:1", status=status) | odd
+    async with (
+        peer(silent) as registry,
+        running(configuration("127.0.0.1:1", "127.0.0.1:2", discovery=registry.address)) as run,
+    ):
+        await until(lambda: registry.seen)
+        registry.seen[0].answer(list_reply(8, entry, {"status": status}, {"name": "s-1"}, snapshot=False))
+        await until(lambda: set(run.pools.hosts) == {host_id(1)})
+        assert set(run.module.servers) == {host_id(1)}
+
+
 # Attempts
 
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -29,6 +29,14 @@
         driver.now_us += 1_000
 
 
+@given(must_ask_us=st.integers(1_000, 10**9), seed=st.integers(0, 99))
+def test_a_gateway_that_starts_asks_soon_whatever_the_rules_give(must_ask_us: int, seed: int) -> None:
+    driver = Driver(Settings((SAFE,), list_is_pushed=False, must_ask_within_us=must_ask_us), servers=0, seed=seed)
+    (timer,) = timers(driver.handle(ServerList(ListKind.DISK)))
+    waited_s = (timer.due_us - driver.now_us) / 1e6
+    assert waited_s >= 0 and waited_s + CONNECT_S + ANSWER_S < TOLD_S
+
+
 @given(failures=st.integers(1, 2_000), chance=st.floats(0, 1))
 def test_where_lists_are_pushed_a_retry_is_soon_and_spread(failures: int, chance: float) -> None:
     watch = Watch()
