--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -182,6 +182,35 @@
         assert set(run.module.servers) == {host_id(1)}
 
 
+@pytest.mark.parametrize("first", ["silent", "503", "reset", "garbage"])
+@pytest.mark.parametrize("known", [{}, {"index": "new", "endpoints": 3}])
+@on_loop
+async def test_a_process_that_knows_no_host_is_ready_in_time_though_its_first_call_fails(
+    first: str, known: dict[str, object]
+) -> None:
+    """Nine in ten that restart together are to be ready within 10 s: one failure must leave room for another."""
+    failing = {"silent": silent, "503": answers(reply(503)), "garbage": answers(b"\x00\x01\r\n\r\n")}
+
+    def script(exchange: Exchange) -> None:
+        if len(registry.seen) > 1:
+            exchange.answer(list_reply(3, endpoint("s-0", host.address)))
+            registry.script = silent
+        elif first == "reset":
+            exchange.reset()
+        else:
+            failing[first](exchange)
+
+    async with peer() as host, peer(script) as registry:
+        config = configuration(discovery=registry.address) | {"known": known}
+        config["settings"]["membershipMode"] = "on_request"
+        begun_s = time.monotonic()
+        async with running(config) as run:
+            assert not run.server.is_ready
+            await until(lambda: run.server.is_ready)
+            assert time.monotonic() - begun_s < 5.0
+            assert (await run.ask(request())).status == 200
+
+
 # Attempts
 
 
