--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -4,6 +4,7 @@
     python -m cloverkeel register   beside a box: keeps its ephemeral node
     python -m cloverkeel duties ... who holds which duty; `duties --help` tells more
     python -m cloverkeel peers ...  what the gateways know of one another and of hosts; `peers --help` tells more
+    python -m cloverkeel relay FILE the control plane's relay: tells gateways their subsets of the list
     python -m cloverkeel try ...    real gateways among stand-ins; `try --help` tells more
 """
 
@@ -38,7 +39,11 @@
         from cloverkeel.sharing.commands import main as peers
 
         return peers(arguments[1:])
-    said = "expected try, register, duties or peers, or none for the gateway"
+    if arguments[0] == "relay":
+        from cloverkeel.relay.command import main as relay
+
+        return relay(arguments[1:])
+    said = "expected try, register, duties, peers or relay, or none for the gateway"
     print(f"cloverkeel: {arguments[0]}: unknown command; {said}", file=sys.stderr)
     return 2
 
