--- /dev/null
+++ b/benchmarks/capacity/parts.py
@@ -0,0 +1,518 @@
+"""One measurement at one size, in a process of its own: what benchmarks.capacity.slopes starts.
+
+    python -m benchmarks.capacity.parts PART SIZE [--seconds S]
+
+Prints one JSON object: costs by name, in the units of slopes.ROWS. Times of the processor are the kernel's own account.
+A part may not know what its figures are for, and fits nothing.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import json
+import os
+import random
+import socket
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, cast
+
+import uvloop
+
+from caperdrift import native
+from benchmarks.capacity.plan import PLAN, fleet, zones_of
+from benchmarks.capacity.world import encoded, entries, gateways_at
+from standins.site import BoxKind, Rules, configuration, settings
+
+Costs = dict[str, float]
+ROOT = Path(__file__).resolve().parents[2]
+READY_S = 30.0  # for a process to be ready: how long a broken run takes
+PATIENCE_S = 5.0  # for one request
+CONNECTIONS = 256  # of the clients, at the most
+WHOLES, CHANGES, PASSES, STARTS = 3, 15, 5, 3  # measured so often; the median counts
+IDLE_S = 2.0  # for what a gateway takes with nothing to do
+COLDS = 8  # hosts that are cold at a time: 9,800 starts a day and 6 s each come to less than one
+MB = 1024 / 1e6  # a KiB
+TICK_S = 0.001  # of the ticker that finds stops of the loop
+
+
+def gateway_settings(hosts: int) -> dict[str, Any]:
+    """The settings of a gateway of the plan's fleet at this share of it; lists are pushed."""
+    zones = [zone for each in zones_of().values() for zone in each]
+    return settings(gateways_at(hosts), 0, 0, BoxKind(), Rules()) | {"membershipMode": "pushed", "zones": zones}
+
+
+def kib(pid: int | str, field_name: str) -> float:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(float(line.split()[1]) for line in lines if line.startswith(field_name + ":"))
+
+
+def cpu_ms(pid: int) -> float:
+    tasks = Path(f"/proc/{pid}/task").iterdir()
+    return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks) / 1e6
+
+
+# A gateway's lists: the real rooms put together, told what discovery would say
+
+
+def _answer(index: int, whole: bool, listed: list[dict[str, Any]]) -> bytes:
+    return encoded(index, whole, listed).partition(b"\r\n\r\n")[2]
+
+
+def part_list(size: int, seconds: float) -> Costs:
+    """CPU, the stop of the loop (one step: parsed and handled, as Discovery does) and bytes of lists and changes."""
+    from caperdrift.interface import ListKind
+    from cloverkeel.assembly import assemble
+    from cloverkeel.core.config import parse
+    from cloverkeel.membership.registry import parse_list
+
+    listed = entries(size, [])
+    costs: Costs = {}
+
+    async def measure() -> None:
+        config = parse(configuration("g0", "127.0.0.1:0", "127.0.0.1:9", "1", [], gateway_settings(size)))
+        gateway = assemble(config).gateway
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(5_000, 10, 10)  # as the program does
+
+        def told(body: bytes) -> tuple[float, float]:
+            """CPU and time, both in ms, of one answer."""
+            began, cpu = time.perf_counter(), time.process_time()
+            _, whole, came = parse_list(json.loads(body), config.names)
+            gateway.on_list(ListKind.FULL if whole else ListKind.DELTA, came)
+            return (time.process_time() - cpu) * 1e3, (time.perf_counter() - began) * 1e3
+
+        body = _answer(1, True, listed)
+        first = told(body)
+        wholes = [told(body) for _ in range(WHOLES)]
+        costs["whole_first_stop_ms"] = first[1]
+        _note(costs, "whole", wholes, len(body))
+        query = b"GET /registry/instances?from=100000&hold_ms=1000 HTTP/1.1\r\nHost: 10.0.0.1:8080\r\n\r\n"
+        costs["poll_bytes"] = len(query) + len(encoded(100_000, False, []))
+        index = 2
+        for count in (1, 5, 500, max(1, size // PLAN.zones)):
+            name = "change_zone" if count == max(1, size // PLAN.zones) and count not in (1, 5) else f"change_{count}"
+            if count > size // 2:
+                continue
+            seen: list[tuple[float, float]] = []
+            for turn in range(CHANGES if count <= 5 else WHOLES):
+                begin = turn * count % (size - count + 1)
+                of = listed[begin : begin + count]
+                if name == "change_zone":
+                    # Lost and back: the second half of it, when all begin anew, is what counts.
+                    told(_answer(index, False, [entry | {"status": "DELETED"} for entry in of]))
+                    of = [entry | {"since_ms": 1_000_000 + turn} for entry in of]
+                else:
+                    of = [entry | {"weight": 1.0 + 0.01 * (turn % 5 + 1)} for entry in of]
+                changed = _answer(index, False, of)
+                index += 1
+                seen.append(told(changed))
+                await asyncio.sleep(0)
+            _note(costs, name, seen, len(changed))
+        passes = []
+        for _ in range(PASSES):
+            began = time.perf_counter()
+            gc.collect()
+            passes.append((time.perf_counter() - began) * 1e3)
+        costs["collector_ms"] = statistics.median(passes)
+        gateway.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(measure())
+    return costs
+
+
+def _note(costs: Costs, name: str, seen: list[tuple[float, float]], size: int) -> None:
+    costs[f"{name}_cpu_ms"] = statistics.median(cpu for cpu, _ in seen)
+    costs[f"{name}_stop_ms"] = max(stop for _, stop in seen)
+    costs[f"{name}_bytes"] = size
+
+
+# A real gateway among hosts and discovery of its own
+
+
+@contextmanager
+def world(hosts: int) -> Iterator[tuple[list[int], int]]:
+    """The ports of its hosts, and of discovery."""
+    command = (sys.executable, "-m", "benchmarks.capacity.world", str(hosts))
+    process = subprocess.Popen(command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    assert process.stdin is not None and process.stdout is not None
+    try:
+        said = json.loads(process.stdout.readline())
+        yield said["hosts"], said["discovery"]
+    finally:
+        process.stdin.close()
+        process.wait(READY_S)
+
+
+@dataclass
+class Real:
+    """`python -m cloverkeel`, started and watched from outside."""
+
+    folder: Path
+    config: dict[str, Any]
+    port: int = 0
+    process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        assert self.process is not None
+        return self.process.pid
+
+    def start(self) -> float:
+        """Until it says that it is ready, in ms."""
+        self.port = free_port()
+        file = self.folder / "g.json"
+        file.write_text(json.dumps(self.config | {"listen": f"127.0.0.1:{self.port}"}))
+        began = time.perf_counter()
+        with (self.folder / "g.log").open("ab") as log:
+            self.process = subprocess.Popen(
+                (sys.executable, "-m", "cloverkeel"), cwd=ROOT, env=os.environ | {"LB_CONFIG": str(file)},
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            )  # fmt: skip
+        while not self.is_ready():
+            if self.process.poll() is not None or time.perf_counter() - began > READY_S:
+                raise RuntimeError(f"the gateway did not get ready: {(self.folder / 'g.log').read_text()[-2000:]}")
+            time.sleep(0.002)
+        return (time.perf_counter() - began) * 1e3
+
+    def is_ready(self) -> bool:
+        try:
+            with socket.create_connection(("127.0.0.1", self.port), 1.0) as line:
+                line.sendall(b"GET /health/ready HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n")
+                return line.recv(64).startswith(b"HTTP/1.1 200")
+        except OSError:
+            return False
+
+    def end(self) -> None:
+        """At once: how it drains is no figure of these."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+            self.process = None
+
+
+def free_port() -> int:
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        return int(held.getsockname()[1])
+
+
+def call(port: int, target: str) -> None:
+    with socket.create_connection(("127.0.0.1", port), 5.0) as line:
+        line.sendall(f"GET {target} HTTP/1.1\r\nHost: d\r\n\r\n".encode())
+        if not line.recv(64).startswith(b"HTTP/1.1 200"):
+            raise RuntimeError(f"{target}: not answered")
+
+
+@dataclass
+class Seen:
+    """Latencies in ms of requests that were served, and how many were not."""
+
+    served: list[float] = field(default_factory=list)
+    refused: int = 0
+
+    def p99(self) -> float:
+        return statistics.quantiles(self.served, n=100)[98]
+
+
+class Client(asyncio.Protocol):
+    """One request at a time over a kept connection."""
+
+    def __init__(self) -> None:
+        self.answer: asyncio.Future[bytes] | None = None
+        self.got = b""
+        self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self.got += data
+        head, mark, body = self.got.partition(b"\r\n\r\n")
+        if not mark:
+            return
+        length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0] or 0)
+        if len(body) >= length and self.answer is not None and not self.answer.done():
+            self.answer.set_result(self.got)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_result(b"")
+
+
+class Clients:
+    """Requests at random moments at a rate, whatever the answers take: to the gateway and to a host, in turn."""
+
+    def __init__(self, gateway: int, hosts: list[int], rate: float) -> None:
+        self.targets = {"through": [gateway], "direct": hosts}
+        self.rate = rate
+        self.idle: dict[int, list[Client]] = {}
+        self.count = 0
+
+    async def run(self, seconds: float) -> dict[str, Seen]:
+        loop = asyncio.get_running_loop()
+        dice = random.Random(self.count)
+        found = {name: Seen() for name in self.targets}
+        due, end, asked = loop.time(), loop.time() + seconds, set[asyncio.Task[None]]()
+        while due < end:
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            for name, ports in self.targets.items():
+                self.count += 1
+                asked.add(loop.create_task(self.ask(ports[self.count // 2 % len(ports)], found[name], loop.time())))
+            due += dice.expovariate(self.rate)
+        await asyncio.wait(asked)
+        for task in asked:
+            task.result()
+        return found
+
+    async def ask(self, port: int, seen: Seen, due: float) -> None:
+        loop = asyncio.get_running_loop()
+        kept = self.idle.setdefault(port, [])
+        number = self.count
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                while kept and kept[-1].lost:
+                    kept.pop()
+                client = kept.pop() if kept else (await loop.create_connection(Client, "127.0.0.1", port))[1]
+                client.got, client.answer = b"", loop.create_future()
+                client.transport.write(request(number))
+                answer = await client.answer
+        except (OSError, TimeoutError):
+            seen.refused += 1
+            return
+        if answer.startswith(b"HTTP/1.1 200"):
+            seen.served.append((loop.time() - due) * 1e3)
+        else:
+            seen.refused += 1
+        if answer and len(kept) < CONNECTIONS:
+            kept.append(client)
+
+
+def request(number: int) -> bytes:
+    return (
+        f"GET /search/{number % 1500:x} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {number:016x}\r\n"
+        "X-Call-Class: search\r\nX-Caller: central\r\nX-Budget-Ms: 700\r\nX-Call-Cost: 41000\r\n\r\n"
+    ).encode()
+
+
+def part_gateway(size: int, seconds: float) -> Costs:
+    """A real gateway: start, memory, CPU a request, p99 added in quiet and while hosts change."""
+    costs: Costs = {}
+    with world(size) as (hosts, discovery), tempfile.TemporaryDirectory() as folder:
+        known = entries(size, hosts)
+        made = gateway_settings(size)
+        config = configuration("g0", "", f"127.0.0.1:{discovery}", "1", known, made)
+        real = Real(Path(folder), config)
+        try:
+            starts = []
+            for _ in range(STARTS):
+                real.end()
+                starts.append(real.start())
+            costs["ready_ms"] = statistics.median(starts)
+            costs["resident_mb"] = kib(real.pid, "VmRSS") * MB
+            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                clients = Clients(real.port, hosts, PLAN.requests_per_gateway)
+                runner.run(clients.run(min(2.0, seconds)))  # to warm up
+                _under_load(costs, "quiet", runner, clients, real.pid, seconds)
+                call(discovery, "/changes?count=5&every_ms=333")
+                _under_load(costs, "changes", runner, clients, real.pid, seconds)
+                call(discovery, "/changes?count=0&every_ms=0")
+            before = cpu_ms(real.pid)
+            time.sleep(IDLE_S)
+            costs["idle_ms_per_s"] = (cpu_ms(real.pid) - before) / IDLE_S
+            call(discovery, "/anew")
+            time.sleep(IDLE_S)  # far longer than it takes to read it
+            costs["resident_most_mb"] = kib(real.pid, "VmHWM") * MB
+        finally:
+            real.end()
+    return costs
+
+
+def _under_load(
+    costs: Costs, name: str, runner: asyncio.Runner, clients: Clients, pid: int, seconds: float
+) -> None:
+    before = cpu_ms(pid)
+    found = runner.run(clients.run(seconds))
+    spent = cpu_ms(pid) - before
+    through, direct = found["through"], found["direct"]
+    asked = len(through.served) + through.refused
+    costs[f"{name}_request_us"] = spent * 1e3 / asked
+    costs[f"{name}_p99_added_ms"] = max(0.0, through.p99() - direct.p99())
+    costs[f"{name}_refused"] = through.refused / asked
+
+
+# The others: pure parts of all gateways on one simulated clock, datagrams counted
+
+
+def part_presence(size: int, seconds: float) -> Costs:
+    from benchmarks.sharing import BEGIN_US, Fleet
+
+    before = kib("self", "VmRSS")
+    told = Fleet(size, 1)
+    told.run(BEGIN_US + 2_000_000, load=False)
+    sent, sent_bytes, cpu = told.sent, told.sent_bytes, time.process_time()
+    span_s = 4
+    told.run(told.at_us + span_s * 1_000_000, step_us=20_000, load=False)
+    each = size * span_s
+    spent = (time.process_time() - cpu) * 1e3
+    return {
+        "presence_datagrams_per_s": (told.sent - sent) / each,
+        "presence_bytes_per_s": (told.sent_bytes - sent_bytes) / each,
+        "presence_ms_per_s": spent / each,
+        "presence_kib": (kib("self", "VmRSS") - before) / size,
+    }
+
+
+def part_news(size: int, seconds: float) -> Costs:
+    """Until every gateway doubts a host that has begun to fail, and what is said meanwhile."""
+    from benchmarks.sharing import spread
+
+    found = spread(size, 0.0, 1)
+    return {"news_all_ms": found.all_ms, "news_bytes_per_s": found.bytes_s}
+
+
+def part_duties(size: int, seconds: float) -> Costs:
+    """COLDS hosts are cold, each in reach of three gateways: leases and reports, of all gateways together."""
+    from benchmarks.duties import cost
+
+    span_s, warm_s = 5, 5  # the second is cost's own: it does not count datagrams then
+    cpu = time.process_time()
+    datagrams, size_bytes = cost(size, COLDS, span_s)
+    spent = (time.process_time() - cpu) * 1e3
+    return {
+        "duties_datagrams_per_s": datagrams * size, "duties_bytes_per_s": size_bytes * size,
+        "duties_ms_per_s": spent / size / (span_s + warm_s),
+    }  # fmt: skip
+
+
+# The settings
+
+
+def settings_with(tenants: int, classes: int = 3) -> dict[str, Any]:
+    made = gateway_settings(PLAN.hosts)
+    lanes = [made["lanes"][n % 3] | {"name": f"class-{n}"} for n in range(classes)]
+    named = [{"name": f"tenant-{n:06d}", "fraction": 1 / tenants} for n in range(tenants)]
+    return made | {"tenants": named, "lanes": lanes}
+
+
+def _reload(made: dict[str, Any]) -> Costs:
+    """Read as a running gateway does: off the loop, while a ticker on the loop finds how long it stood."""
+    from caperdrift.balance import Balancer
+    from cloverkeel.core.config import load
+
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "g.json"
+        file.write_text(json.dumps(configuration("g0", "127.0.0.1:1", "127.0.0.1:9", "1", [], made)))
+        size = file.stat().st_size
+
+        async def read() -> Costs:
+            loop = asyncio.get_running_loop()
+            gaps: list[float] = []
+            seen = loop.time()
+            over = False
+
+            def tick() -> None:
+                nonlocal seen
+                now = loop.time()
+                gaps.append(now - seen)
+                seen = now
+                if not over:
+                    loop.call_later(TICK_S, tick)
+
+            tick()
+            before = kib("self", "VmRSS")
+            first = load({"LB_CONFIG": str(file)})
+            balancer = Balancer(first.settings, 1)
+            kept = kib("self", "VmRSS") - before
+            await asyncio.sleep(0.02)
+            gaps.clear()
+            began, cpu = time.perf_counter(), time.process_time()
+            again = await asyncio.to_thread(load, {"LB_CONFIG": str(file)})
+            spent, took = (time.process_time() - cpu) * 1e3, (time.perf_counter() - began) * 1e3
+            await asyncio.sleep(0.005)
+            over = True
+            most = kib("self", "VmHWM") - before
+            del balancer, again
+            return {
+                "reload_cpu_ms": spent, "reload_ms": took, "reload_stop_ms": max(gaps) * 1e3,
+                "reload_bytes": size, "reload_kept_mb": kept * MB, "reload_most_mb": most * MB,
+            }  # fmt: skip
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(read())
+
+
+def part_tenants(size: int, seconds: float) -> Costs:
+    return {f"tenants_{name}": value for name, value in _reload(settings_with(size)).items()}
+
+
+def part_classes(size: int, seconds: float) -> Costs:
+    return {f"classes_{name}": value for name, value in _reload(settings_with(4, size)).items()}
+
+
+# State that the program does not have: bytes of typical entries, an estimate
+
+
+def _kept(make: Callable[[], object]) -> float:
+    """KiB that stay allocated."""
+    gc.collect()
+    tracemalloc.start()
+    made = make()
+    gc.collect()
+    kept = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    del made
+    return kept
+
+
+def part_routes(size: int, seconds: float) -> Costs:
+    """A route: its prefix, the service, a class and two limits; and its text in a file."""
+
+    def routes() -> dict[str, tuple[str, int, float, int]]:
+        return {f"/area-{n % 97}/resource-{n:05d}/": (f"s{n % 1400}", n % 3, 0.5 + n, 1000 + n) for n in range(size)}
+
+    text = json.dumps([{"prefix": k, "service": v[0], "class": v[1], "limits": v[2:]} for k, v in routes().items()])
+    return {"routes_kib": _kept(routes), "routes_bytes": float(len(text))}
+
+
+def part_services(size: int, seconds: float) -> Costs:
+    """A service: its name, the numbers of its hosts (the plan's 27 each) in a list, and its sums."""
+
+    def services() -> dict[str, tuple[list[int], list[float]]]:
+        each = PLAN.hosts // PLAN.services
+        return {f"s{n}": ([n * each + m + 1000 for m in range(each)], [float(n), 1.0, 0.5]) for n in range(size)}
+
+    return {"services_kib": _kept(services)}
+
+
+PARTS: dict[str, Callable[[int, float], Costs]] = {
+    name.removeprefix("part_"): part for name, part in list(globals().items()) if name.startswith("part_")
+}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("part", choices=tuple(PARTS))
+    parser.add_argument("size", type=int)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    options = parser.parse_args()
+    native.load("cloverkeel")  # before any of its rooms is imported as a source
+    print(json.dumps(PARTS[options.part](options.size, options.seconds)))
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
