--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -18,9 +18,9 @@
 def main(arguments: Sequence[str]) -> int:
     if arguments[:1] == ["run"]:
         # Imported here alone: slopes and page need none of what it starts.
-        from benchmarks.capacity.run import main as run
+        from importlib import import_module
 
-        return run(arguments[1:])
+        return int(import_module("benchmarks.capacity.run").main(arguments[1:]))
     parser = argparse.ArgumentParser(
         "benchmarks.capacity", description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -1,4 +1,4 @@
-"""Which costs are measured, by what, at which sizes: the rows of slopes. Data alone; another part adds its rows here."""
+"""Which costs are measured, by what, at which sizes: data alone. Another part of parts.py adds its rows here."""
 
 from __future__ import annotations
 
@@ -42,12 +42,14 @@
     Part("tenants", "tenants", (170, 1_700, 17_000, 170_000), (170, 500, 1_700, 5_000), PLAN.tenants),
     Part("presence", "gateways", (50, 100, 200, 400, 800), (10, 20, 50, 100), PLAN.gateways),
     Part("duties", "gateways", (50, 100, 200, 400, 800), (10, 20, 50, 100), PLAN.gateways),
+    Part("relay", "hosts", HOSTS, (400, 800, 1_600, 3_200), PLAN.hosts, "cloverkeel.relay.feed"),
     Part("news", "gateways", (25, 50, 100, 200), (5, 10, 20, 40), PLAN.gateways),
     Part("classes", "classes", (3, 10, 30, 100), (3, 6, 12, 24), 30),
     Part("routes", "routes", (110, 1_100, 3_500, 11_000), (110, 300, 1_100, 3_000), PLAN.routes),
     Part("services", "services", (14, 140, 700, 1_400), (14, 50, 140, 700), PLAN.services),
 )  # fmt: skip
 
+_RELAY: Final = "relay"  # one of twelve: a twelfth of the gateways that the plan has before so many hosts
 _HOSTS, _REQUESTS, _OTHERS, _SETTINGS = "gateway, hosts", "gateway, requests", "gateway, others", "gateway, settings"
 
 
@@ -95,9 +97,23 @@
     Spec("presence_kib", "presence", _OTHERS, "sharing, memory", "KiB"),
     Spec("news_all_ms", "news", _OTHERS, "until all gateways doubt a host that fails", "ms"),
     Spec("news_bytes_per_s", "news", _OTHERS, "sharing, bytes a second meanwhile", "bytes/s"),
-    Spec("duties_datagrams_per_s", "duties", _OTHERS, "duties, datagrams a second of all gateways, 8 hosts cold", "/s"),
+    Spec("duties_datagrams_per_s", "duties", _OTHERS, "duties, datagrams a second of all gateways, 8 cold hosts",
+         "/s"),
     Spec("duties_bytes_per_s", "duties", _OTHERS, "duties, bytes a second of all gateways, 8 hosts cold", "bytes/s"),
     Spec("duties_ms_per_s", "duties", _OTHERS, "duties, CPU a second of one gateway, 8 hosts cold", "ms/s"),
+    Spec("relay_take_ms", "relay", _RELAY, "CPU of a whole list taken", "ms"),
+    Spec("relay_take_stop_ms", "relay", _RELAY, "longest step by a whole list taken", "ms"),
+    Spec("relay_whole_cpu_ms", "relay", _RELAY, "CPU of one gateway's whole subset", "ms"),
+    Spec("relay_whole_bytes", "relay", _RELAY, "bytes of the largest whole subset", "bytes"),
+    Spec("relay_kept_mb", "relay", _RELAY, "memory of the list and of what each gateway has", "MB"),
+    Spec("relay_change_1_cpu_ms", "relay", _RELAY, "CPU of a host back, all its gateways told", "ms"),
+    Spec("relay_change_1_stop_ms", "relay", _RELAY, "longest step by a host back", "ms"),
+    Spec("relay_change_1_bytes", "relay", _RELAY, "bytes out of a host back, all its gateways", "bytes"),
+    Spec("relay_change_1_bytes_most", "relay", _RELAY, "the same, the gateway that is told most", "bytes"),
+    Spec("relay_change_zone_cpu_ms", "relay", _RELAY, "CPU of a zone back, all its gateways told", "ms"),
+    Spec("relay_change_zone_stop_ms", "relay", _RELAY, "longest step by a zone back", "ms"),
+    Spec("relay_change_zone_bytes", "relay", _RELAY, "bytes out of a zone back, all its gateways", "bytes"),
+    Spec("relay_change_zone_bytes_most", "relay", _RELAY, "the same, the gateway that is told most", "bytes"),
     *_reload("tenants"),
     *_reload("classes"),
     Spec("routes_kib", "routes", _SETTINGS, "state that routes would need", "KiB", estimate=True),
--- a/benchmarks/capacity/world.py
+++ b/benchmarks/capacity/world.py
@@ -1,6 +1,8 @@
 """What a measured gateway talks to, as a process of its own: bare hosts, and discovery with a list of any size.
 
-    python -m benchmarks.capacity.world HOSTS [PORTS]      prints {"hosts": [port, ...], "discovery": port}; ends with stdin
+    python -m benchmarks.capacity.world HOSTS [PORTS]
+
+Prints {"hosts": [port, ...], "discovery": port} once it listens, and ends with its stdin.
 
 It may not know the gateway. Each of PORTS listeners answers any request at once; the hosts of the list share them.
 Discovery speaks the published form; `GET /changes?count=5&every_ms=333` makes it change so many hosts so often (0: no
