The one that calls discovery is a base of its own, with two seams: what is asked, what is made of it

Need: a relay asks discovery as a gateway does, but keeps entries as they came; a gateway behind relays names itself. Neither may copy how a call is made, given up, replaced and caught up with after a gap.

Change: `Caller` has all of that; `target`, `take` and `failed` are what differs. `Discovery` is as it was, to its callers and on the wire.

--- a/cloverkeel/membership/registry.py
+++ b/cloverkeel/membership/registry.py
@@ -6,6 +6,7 @@
 import json
 import random
 import select
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -15,7 +16,7 @@
 from cloverkeel.core.log import log
 from cloverkeel.core.messages import Reply
 from cloverkeel.core.ports import Entry, OnList
-from cloverkeel.membership.watch import CONNECT_S, REST_S, Watch
+from cloverkeel.membership.watch import CONNECT_S, REST_S, Query, Watch
 from cloverkeel.protocols.http1 import ReplyError, ReplyReader
 
 LIST_LIMIT = 16 * 1024 * 1024
@@ -164,15 +165,13 @@
             self.answer = None
 
 
-class Discovery:
-    """Asks for the list when told to, and tells `on_list` what came; failures too.
+class Caller(ABC):
+    """Asks for the list when told to; who derives from it says what is asked, and what is made of an answer.
 
     One task at a time asks, over one connection: what it is told is always newer than what was told before.
     """
 
-    def __init__(self, address: Address, names: Names, pushed: bool) -> None:
-        self.names = names
-        self.on_list: OnList = lambda kind, entries: None  # the core's, once it is there
+    def __init__(self, address: Address, pushed: bool) -> None:
         self.pushed = pushed  # nobody asks for changes: they are watched for from the start, whatever fails
         self.address = address
         self.plan = Watch()
@@ -184,20 +183,24 @@
         self.line: _Line | None = None
         self.answers = 0
 
-    def tell(self, on_list: OnList) -> None:
-        self.on_list = on_list
+    # The seams
 
-    def take_known(self, raw: dict[str, Any]) -> None:
-        """Begin with the list that this gateway had before it was restarted."""
-        entries: list[Entry] = []
-        try:
-            self.plan.index, _, entries = parse_list(raw, self.names)
-        except (KeyError, TypeError, ValueError) as error:
-            if raw:
-                log(f"the list known from before cannot be used: {error!r}")
-        self.on_list(ListKind.DISK, entries)
-        if self.pushed:
-            self.watch(True)
+    def target(self, query: Query) -> bytes:
+        """What is asked for, in full."""
+        return query.target
+
+    @abstractmethod
+    def take(self, body: bytes) -> bool:
+        """Hear an answer (the body of a 200) and tell `plan` of it; returns whether it had any entry.
+
+        Whatever it raises is a call that failed.
+        """
+
+    @abstractmethod
+    def failed(self) -> None:
+        """A call has failed; nothing asks now, and this may begin to."""
+
+    # When to ask
 
     def watch(self, on: bool) -> None:
         """Begin to watch, or stop; a watch that is on goes on as it is."""
@@ -292,7 +295,7 @@
         self.plan.on_failure(given_up=isinstance(error, TimeoutError))
         self.task = None  # this one is over; and the module may ask again while it hears of this
         self.stop()
-        self.on_list(ListKind.ERROR, [])
+        self.failed()
         if self.pushed and self.task is None and not self.closed:
             wait_s = self.plan.retry_s(random.random())
             self.retry = asyncio.get_running_loop().call_later(wait_s, self.watch, True)
@@ -306,7 +309,9 @@
             self.line = line
             self.plan.connected()
         query = self.plan.next_query(loop.time())
-        head = b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (query.target, self.address[0].encode(), self.address[1])
+        head = b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (
+            self.target(query), self.address[0].encode(), self.address[1],
+        )  # fmt: skip
         asked_s = loop.time()
         async with asyncio.timeout(query.limit_s):
             reply = await line.ask(head)
@@ -314,9 +319,40 @@
             raise CallError(f"answered {reply.status}")
         if not reply.keep_alive:
             line.close()
-        index, whole, entries = parse_list(json.loads(reply.body), self.names)
-        if self.plan.on_answer(loop.time(), index, whole):
-            self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
+        has_entries = self.take(reply.body)
         self.answers += 1  # after it was told: the core may notice a gap in that, and this answer is of the gap
-        if not entries and query.holds and loop.time() - asked_s < REST_S:
+        if not has_entries and query.holds and loop.time() - asked_s < REST_S:
             await asyncio.sleep(REST_S)  # guards against asking without end who answers at once, with nothing
+
+
+class Discovery(Caller):
+    """The gateway's: tells `on_list` what came; failures too."""
+
+    def __init__(self, address: Address, names: Names, pushed: bool) -> None:
+        super().__init__(address, pushed)
+        self.names = names
+        self.on_list: OnList = lambda kind, entries: None  # the core's, once it is there
+
+    def tell(self, on_list: OnList) -> None:
+        self.on_list = on_list
+
+    def take_known(self, raw: dict[str, Any]) -> None:
+        """Begin with the list that this gateway had before it was restarted."""
+        entries: list[Entry] = []
+        try:
+            self.plan.index, _, entries = parse_list(raw, self.names)
+        except (KeyError, TypeError, ValueError) as error:
+            if raw:
+                log(f"the list known from before cannot be used: {error!r}")
+        self.on_list(ListKind.DISK, entries)
+        if self.pushed:
+            self.watch(True)
+
+    def take(self, body: bytes) -> bool:
+        index, whole, entries = parse_list(json.loads(body), self.names)
+        if self.plan.on_answer(asyncio.get_running_loop().time(), index, whole):
+            self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
+        return bool(entries)
+
+    def failed(self) -> None:
+        self.on_list(ListKind.ERROR, [])
