Cold servers: a list may tell how many proxies know one, and its budget is split by that

With lists that are subsets, proxies x reach / ranked is the share of another set. Told an upper bound of those who know a server, each takes one part in so many; 0, as any list of today says, keeps the formula to the byte. A part that grows while the server is cold begins empty.

--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -1127,7 +1127,7 @@
 
     def cold_part_us(self, server: Server) -> tuple[float, float]:
         """One proxy's part of a fall budget: at once, and evenly over each fall window."""
-        budget_us = self.fall_budget_us()
+        budget_us = self.fall_budget_us(server.entry.users)
         if self.now_us < server.warm_at_us:
             part_us = FALL_MARGIN * budget_us * self.cold_share(server) / 2
             return part_us, part_us
@@ -1167,12 +1167,16 @@
             found.append((server.entry.server, server.entry.started_us, wants, idle and not wants))
         return found
 
-    def fall_budget_us(self) -> float:
+    def fall_budget_us(self, told: int = 0) -> float:
         """This process's part of the work that a server of one core may be sent in a fall window when warm.
 
         The parts of all add up to the whole; a burst, and the rest drained in each window, never passes it.
+        Told how many proxies know the server at the most, each takes one part in so many: others never send
+        to it, so the parts sum up to no more than the whole, whatever each one's list and reach. How many of
+        a few have it in reach is chance; the share by reach holds for the mean of many.
         """
         users = max(1.0, self.settings.proxies * min(1.0, self.reach / max(1, len(self.ranked))))
+        users = float(told or users)
         return self.settings.fall_multiple * self.settings.fall_us / users / self.processes
 
     def cold_cost_us(self, server: Server, request: Request) -> float:
@@ -1262,11 +1266,15 @@
             # each begins with a random part of that spent, so that these firsts do not come together.
             works = zip(self.mean_work, self.unhindered, self.smoothed, strict=True)
             usual = [work if work >= UNDERSTATED * least else waited for work, least, waited in works]
-            most_us = max(*usual, FALL_MARGIN * self.fall_budget_us() / 2)
+            most_us = max(*usual, FALL_MARGIN * self.fall_budget_us(entry.users) / 2)
             server.spent_us = self.random.random() * most_us
             self.servers[entry.server] = server
         else:
+            retold = known.entry.users != entry.users and self.now_us < known.settled_at_us
+            had_us = self.pay_off(known) if retold else 0.0  # up to now by what was told before
             known.entry, known.near = entry, self.nearness(entry)
+            if retold:  # a larger part begins empty: those that know it no longer may just have spent theirs
+                known.spent_us += max(0.0, self.pay_off(known) - had_us)
 
     def log(self, line: str) -> None:
         """Say what was seen, at most so often: a wide failure must not bury its own beginning."""
--- a/caperdrift/interface.py
+++ b/caperdrift/interface.py
@@ -200,6 +200,7 @@
     group: int = 0
     kind: int = 0
     started_us: int = 0  # clock reading; 0: long ago
+    users: int = 0  # proxies that are told of this server, at the most; 0: all of `Settings.proxies`
 
 
 @dataclass(slots=True, frozen=True)
