Relays, the gateway's side: whom it asks, how often, and what it believes there

Need: a gateway is told its part of the list by one of some relays, and must not lose news, undo a drain or storm anybody when a relay dies, falls silent, is stale or wakes with an old list.

Off, nothing of it is imported and calls to discovery are as they were. An entry's `users` is taken.

--- a/cloverkeel/assembly.py
+++ b/cloverkeel/assembly.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cloverkeel.core.clock import now_us
 from cloverkeel.core.config import Config
 from cloverkeel.core.gateway import Gateway
 from cloverkeel.core.options import Options
@@ -17,6 +18,7 @@
     from cloverkeel.membership.banned import BannedMembership
     from cloverkeel.duties.room import Room
     from cloverkeel.membership.merged import MergedMembership
+    from cloverkeel.membership.relayed import RelayedDiscovery
     from cloverkeel.sharing.room import Room as SharingRoom
 
 
@@ -60,6 +62,12 @@
 def assemble(config: Config, options: Options | None = None) -> Program:
     pools = Pools(config.settings)
     registry = Discovery(config.discovery, config.names, config.settings.list_is_pushed)
+    relayed: RelayedDiscovery | None = None
+    if options is not None and options.relays is not None:
+        # Imported here alone: most installations have no relays.
+        from cloverkeel.membership.relayed import RelayedDiscovery
+
+        registry = relayed = RelayedDiscovery(config, options.relays)
     discovery: Discovery | MergedMembership = registry
     if options is not None and options.ephemeral is not None:
         # Imported here alone: kazoo and its threads cost memory, and most installations have none of it.
@@ -73,6 +81,8 @@
 
         membership = BannedMembership(discovery)
     gateway = Gateway(config, pools, membership)
+    if relayed is not None:
+        relayed.outs = lambda: len(gateway.balancer.outs(now_us()))
     may_tell = config.settings.may_tell_peers and config.peer_listen is not None
     if options is None or not may_tell or (options.duties is None and options.sharing is None):
         return Program(gateway, Server(config, gateway, pools), pools, membership)
--- a/cloverkeel/core/options.py
+++ b/cloverkeel/core/options.py
@@ -10,9 +10,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cloverkeel.core.config import ConfigError, parse_address
+from cloverkeel.core.config import Address, ConfigError, parse_address
 
 SOURCES = ("ephemeral", "registry")
+RELAYS_MOST = 64  # a gateway keeps a line on each, and tries all before it has gone round
+SERVICES_MOST = 256  # they are named in each call, which a relay reads up to 8 KiB of
+SERVICE_LETTERS_MOST = 128
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,11 +48,23 @@
     """What the gateways know together (docs/peers.md). Off where the settings allow no datagrams. It has no keys."""
 
 
+@dataclass(slots=True, frozen=True)
+class Relays:
+    """Membership by control-plane relays (docs/relay-design.md)."""
+
+    addresses: tuple[Address, ...]
+    services: tuple[str, ...] = ()  # that this gateway is for; none: all that the relays' roster has for it
+    # Gateways of the whole fleet that may ask discovery itself, where no relay answers. A whole list of 38,000 hosts
+    # is 5.4 MB: 10 a second are 54 MB of it, and each of 4,600 gateways has its turn once in 8 minutes.
+    direct_per_s: int = 10
+
+
 @dataclass(slots=True, frozen=True)
 class Options:
     ephemeral: Ephemeral | None = None
     duties: Duties | None = None
     sharing: Sharing | None = None
+    relays: Relays | None = None
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Options:
@@ -70,7 +85,7 @@
 
 
 def parse(raw: dict[str, Any], where: str) -> Options:
-    _known(raw, ("membership", "duties", "sharing"), where)
+    _known(raw, ("membership", "duties", "sharing", "relays"), where)
     for name, table in raw.items():
         if not isinstance(table, dict):
             raise ConfigError(f"{where}: {name}: expected a table, found {table!r}")
@@ -78,9 +93,36 @@
         _ephemeral(raw["membership"], f"{where}: membership") if "membership" in raw else None,
         _duties(raw["duties"], f"{where}: duties") if "duties" in raw else None,
         _sharing(raw["sharing"], f"{where}: sharing") if "sharing" in raw else None,
+        _relays(raw["relays"], f"{where}: relays") if "relays" in raw else None,
     )
 
 
+def _relays(table: dict[str, Any], where: str) -> Relays:
+    _known(table, ("addresses", "services", "direct_per_s"), where)
+    named = table.get("addresses")
+    said = f"{where}: addresses: expected a list of 1 to {RELAYS_MOST} different host:port, found {named!r}"
+    if not isinstance(named, list) or not 1 <= len(named) <= RELAYS_MOST:
+        raise ConfigError(said)
+    try:
+        addresses = tuple(parse_address(address, "addresses") for address in named)
+    except ConfigError:
+        raise ConfigError(said) from None
+    if len(set(addresses)) != len(addresses):
+        raise ConfigError(said)
+    services = table.get("services", [])
+    if (
+        not isinstance(services, list)
+        or len(services) > SERVICES_MOST
+        or not all(isinstance(s, str) and 0 < len(s) <= SERVICE_LETTERS_MOST and "," not in s for s in services)
+        or len(set(services)) != len(services)
+    ):
+        raise ConfigError(
+            f"{where}: services: expected a list of at most {SERVICES_MOST} different names of 1 to "
+            f"{SERVICE_LETTERS_MOST} letters without a comma, found {services!r}"
+        )
+    return Relays(addresses, tuple(services), _whole(table, "direct_per_s", 10, 1, 10_000, where))
+
+
 def _sharing(table: dict[str, Any], where: str) -> Sharing:
     for key in table:
         raise ConfigError(f"{where}: {key}: unknown; expected no keys")
--- a/cloverkeel/membership/registry.py
+++ b/cloverkeel/membership/registry.py
@@ -36,6 +36,7 @@
     if not isinstance(name, str) or not name:
         raise ValueError("no name")
     zone, kind, group = raw.get("zone", ""), raw.get("type", ""), raw.get("group", 0)
+    users = raw.get("users", 0)  # from a relay: how many gateways have this host; an odd one is as none
     return Entry(
         name,
         parse_address(raw["address"], "address"),
@@ -47,6 +48,7 @@
             group=group if isinstance(group, int) else stable_id(str(group), 4),
             kind=number_of(kind, names.kinds),
             started_us=int(raw.get("since_ms") or 0) * 1000,
+            users=users if isinstance(users, int) and not isinstance(users, bool) and users >= 1 else 0,
         ),
     )
 
@@ -185,6 +187,10 @@
 
     # The seams
 
+    def where(self) -> Address:
+        """Who is asked on the next connection."""
+        return self.address
+
     def target(self, query: Query) -> bytes:
         """What is asked for, in full."""
         return query.target
@@ -305,13 +311,12 @@
         line = self.line
         if line is None or not line.is_open:
             async with asyncio.timeout(CONNECT_S):
-                _, line = await loop.create_connection(_Line, *self.address)
+                _, line = await loop.create_connection(_Line, *self.where())
             self.line = line
             self.plan.connected()
         query = self.plan.next_query(loop.time())
-        head = b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (
-            self.target(query), self.address[0].encode(), self.address[1],
-        )  # fmt: skip
+        host, port = self.where()
+        head = b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n\r\n" % (self.target(query), host.encode(), port)
         asked_s = loop.time()
         async with asyncio.timeout(query.limit_s):
             reply = await line.ask(head)
--- /dev/null
+++ b/cloverkeel/membership/relayed.py
@@ -0,0 +1,129 @@
+"""The gateway's side of relays: the one that calls, at whom relays.py says. Imported only where [relays] is set.
+
+It is always on watch, whoever asks it to be, since relays hold calls for news; and it asks at its own pace alone:
+where the core wishes for a call between two moves, the next move is that call. Nothing that a relay said after it was
+left is heard: its connection is closed, and its call ended, before another is asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+from caperdrift.interface import ListKind
+
+from cloverkeel.core.config import Address, Config
+from cloverkeel.core.log import log
+from cloverkeel.core.options import Relays as Options
+from cloverkeel.membership.registry import CallError, Discovery, parse_list
+from cloverkeel.membership.relays import Belief, Relays, RelayWatch, Width, age_of, named, of_those_held
+from cloverkeel.membership.watch import Query
+
+WIDE_EVERY_S: Final = 1.0  # between looks at which hosts fail: each is a pass over all of them
+
+
+class RelayedDiscovery(Discovery):
+    """As Discovery, but by relays; `address` is discovery's own, for when all of them are lost."""
+
+    plan: RelayWatch
+
+    def __init__(self, config: Config, options: Options) -> None:
+        super().__init__(config.discovery, config.names, pushed=True)
+        self.gateway, self.services = config.name, options.services
+        self.plan = RelayWatch()
+        direct_every_s = config.settings.proxies / options.direct_per_s
+        self.relays = Relays(config.name, options.addresses, direct_every_s)
+        self.belief = Belief()
+        self.width = Width()
+        self.outs: Callable[[], int] = lambda: 0  # the core's, once it is there: hosts that do not answer it
+        self.looked_s = 0.0
+        self.asked_s = 0.0
+        self.is_held = False  # the call that is out
+        self.moves = 0
+
+    def take_known(self, raw: dict[str, Any]) -> None:
+        super().take_known(raw)
+        self.plan.begin_anew()  # the version of the list from before is nobody's
+
+    def where(self) -> Address:
+        return self.address if self.relays.at is None else self.relays.at.address
+
+    def target(self, query: Query) -> bytes:
+        self.asked_s, self.is_held = asyncio.get_running_loop().time(), query.holds
+        if self.relays.at is None:
+            return query.target
+        return named(query.target, self.gateway, self.services, self.width.wide)
+
+    # Whom to ask
+
+    def begin(self, watches: bool) -> None:
+        if self.retry is not None:
+            return  # between two moves
+        if self.relays.at is None:
+            self._turn()
+        else:
+            super().begin(watches=True)
+
+    def move(self, address: Address) -> None:
+        self.address = address  # for the next call to discovery itself; one that is out there ends in its time
+
+    def _turn(self) -> None:
+        """Ask anew, at whom it is the turn of."""
+        self.retry = None
+        at = self.relays.choose(asyncio.get_running_loop().time())
+        self.moves += 1
+        self.plan.begin_anew()
+        self.plan.is_direct, self.plan.late_s = at is None, self.relays.late_s()
+        self.belief.begin_anew()
+        super().begin(watches=True)
+
+    def _leave(self, wait_s: float) -> None:
+        self.stop()
+        if not self.closed:
+            self.retry = asyncio.get_running_loop().call_later(wait_s, self._turn)
+
+    def _on_failure(self, error: Exception) -> None:
+        host, port = self.where()
+        who = "discovery" if self.relays.at is None else "the relay"
+        log(f"{who} at {host}:{port}: {str(error) or type(error).__name__}; another is asked, and the list stands")
+        now_s = asyncio.get_running_loop().time()
+        self.task = None
+        self._leave(self.relays.on_failure(now_s, isinstance(error, TimeoutError), random.random()))
+        self.failed()
+
+    # What comes
+
+    def take(self, body: bytes) -> bool:
+        raw = json.loads(body)
+        if not isinstance(raw, dict):
+            raise CallError("no list of hosts")
+        now_s, is_direct = asyncio.get_running_loop().time(), self.relays.at is None
+        age_s = age_of(raw)
+        if is_direct and self.services and isinstance(raw.get("endpoints"), list):
+            raw["endpoints"] = [
+                entry for entry in raw["endpoints"]
+                if isinstance(entry, dict) and entry.get("service", "") in self.services
+            ]  # fmt: skip
+        index, whole, entries = parse_list(raw, self.names)
+        if whole and not entries and raw.get("endpoints"):
+            raise CallError("a whole list without one entry that can be used")
+        if self.plan.on_answer(now_s, index, whole):
+            if is_direct and whole and self.belief.held:
+                entries = of_those_held(self.belief.held, entries)
+            kind, told, asks_whole = self.belief.take(now_s, self.asked_s, age_s, whole, entries)
+            if asks_whole:
+                self.plan.ask_whole()
+            if told or kind is ListKind.FULL:
+                self.on_list(kind, told)
+        if self.closed:
+            return True
+        wait_s = self.relays.on_answer(now_s, self.asked_s, age_s, self.is_held, random.random())
+        if wait_s is not None:
+            self._leave(wait_s)
+        elif now_s - self.looked_s >= WIDE_EVERY_S:
+            self.looked_s = now_s
+            self.width.step(now_s, self.outs(), self.belief.serving())
+        return bool(entries)
--- /dev/null
+++ b/tests/test_relays.py
@@ -0,0 +1,432 @@
+"""A gateway behind relays: whom it asks, how often, what it believes; and on loopback, with scripted relays."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from caperdrift.interface import ListedServer, ListKind, ServerStatus
+from cloverkeel.assembly import assemble
+from cloverkeel.core.config import ConfigError, Names, parse
+from cloverkeel.core.options import Options, Relays as RelayOptions, load, parse as parse_options
+from cloverkeel.core.ports import Entry
+from cloverkeel.membership.relayed import RelayedDiscovery
+from cloverkeel.membership.registry import parse_entry
+from cloverkeel.membership.relays import (
+    HELD_S, LATE_S, MOST_WAIT_S, MOVE_GAP_S, MOVE_S, STALE_S, VOLUNTARY_S, WIDE_BACK_S, WIDE_STEP_S, WIDEST, Belief,
+    Relays, Width, age_of, order_of,
+)  # fmt: skip
+from cloverkeel.membership.watch import HOLD_S, LATE_S as LONG_LATE_S, TOLD_S
+from tests.sockets import (
+    Exchange, Peer, Running, Script, answers, configuration, endpoint, host_id, hosts_list, list_reply, on_loop, peer,
+    reply, silent, until,
+)  # fmt: skip
+
+ROOT = Path(__file__).parents[1]
+TWELVE = [(f"10.0.0.{n}", 7100) for n in range(12)]
+
+# Whom to ask
+
+
+def test_each_gateway_has_an_order_of_its_own_that_a_relay_less_leaves() -> None:
+    firsts = Counter(order_of(f"g{n}", TWELVE)[0] for n in range(4_600))
+    assert len(firsts) == 12 and max(firsts.values()) < 1.25 * 4_600 / 12 and min(firsts.values()) > 0.75 * 4_600 / 12
+    for n in range(50):
+        order = order_of(f"g{n}", TWELVE)
+        assert order == order_of(f"g{n}", TWELVE[::-1])
+        assert order_of(f"g{n}", [a for a in TWELVE if a != order[0]]) == order[1:]
+    seconds = Counter(order_of(f"g{n}", TWELVE)[1] for n in range(4_600) if order_of(f"g{n}", TWELVE)[0] == TWELVE[0])
+    assert len(seconds) == 11  # who loses one spreads over all others
+
+
+def test_the_times_together() -> None:
+    assert HELD_S + LATE_S + MOVE_S < 1.0  # what a silent relay costs, but for an answer
+    assert STALE_S + 1.0 + MOVE_GAP_S + 1.0 < TOLD_S  # a relay cut off is left for another before a drain is late
+
+
+STEPS = st.tuples(
+    st.sampled_from(["fresh", "fresh", "stale", "fails", "silent"]), st.floats(0, 20), st.floats(0, 1)
+)  # fmt: skip
+
+
+@settings(max_examples=300)
+@given(st.integers(1, 5), st.floats(0.01, 500), st.lists(STEPS, max_size=80))
+def test_no_order_of_answers_and_failures_makes_it_ask_more(
+    count: int, every_s: float, steps: list[tuple[str, float, float]]
+) -> None:
+    relays, now_s = Relays("g", TWELVE[:count], every_s), 100.0
+    chosen = [now_s]
+    at, direct_s, left_s, fails = relays.choose(now_s), [-1e9], -1e9, 0
+    last = dict.fromkeys(relays.order, "")
+    for what, wait_s, chance in steps:
+        asked_s, now_s = now_s, now_s + wait_s * (0.01 if what == "fails" else 0.1)
+        if what in ("fails", "silent"):
+            fails += 1
+            after_s: float | None = relays.on_failure(now_s, what == "silent", chance)
+            assert after_s is not None and 0 <= after_s <= MOST_WAIT_S
+        else:
+            age_s = 1.0 if what == "fresh" else STALE_S + wait_s + 0.1
+            fails = 0 if at else fails
+            after_s = relays.on_answer(now_s, asked_s, age_s, True, chance)
+        if at is not None:
+            last[at] = what
+        if after_s is None:
+            continue
+        now_s += after_s
+        voluntary = at is not None and what in ("fresh", "stale")
+        assert not (voluntary and what == "fresh" and at is relays.order[0])  # never from its first choice
+        assert not voluntary or now_s - left_s >= VOLUNTARY_S
+        left_s = now_s if voluntary else left_s
+        assert now_s - chosen[-1] >= (MOST_WAIT_S / 2 if fails >= 4 else MOVE_GAP_S) - 1e-6
+        chosen.append(now_s)
+        at = relays.choose(now_s)
+        if at is None:
+            assert all(word in ("fails", "silent") for word in last.values())
+            assert now_s - direct_s[-1] >= every_s - 1e-6
+            direct_s.append(now_s)
+
+
+def test_the_first_call_to_discovery_is_spread_over_the_fleet() -> None:
+    """10 a second of 1,000 gateways: all have asked after 100 s, and no ten seconds saw half as many again."""
+    first = []
+    for n in range(1_000):
+        relays = Relays("g", TWELVE[:1], 100.0)
+        relays.choose(0.0)
+        relays.on_failure(0.0, False, n / 1_000)
+        assert relays.direct_due_s is not None
+        first.append(relays.direct_due_s)
+    assert max(Counter(int(due_s / 10) for due_s in first).values()) <= 150
+
+
+def test_it_goes_back_to_its_first_choice_and_holds_to_it() -> None:
+    relays = Relays("g", TWELVE[:3], 100.0)
+    first = relays.choose(0.0)
+    now_s = relays.on_failure(0.0, False, 0.5)
+    assert relays.choose(now_s) is relays.order[1]
+    while relays.on_answer(now_s, now_s, 0.5, True, 0.5) is None:
+        now_s += HELD_S
+    assert 5.0 < now_s < 25.0 and relays.choose(now_s) is first
+    assert relays.on_answer(now_s, now_s, 0.5, True, 0.5) is None
+
+
+def test_where_all_are_stale_it_rests_at_the_freshest() -> None:
+    relays, now_s, ages = Relays("g", TWELVE[:4], 100.0), 0.0, {}
+    ages = {relay: 30.0 + 10 * place for place, relay in enumerate(relays.order[::-1])}
+    at, moves = relays.choose(0.0), 0
+    while now_s < 9.0:
+        assert at is not None
+        after_s = relays.on_answer(now_s, now_s, ages[at] + now_s, True, 0.1)
+        if after_s is not None:
+            at, moves = relays.choose(now_s + after_s), moves + 1
+        now_s += HELD_S
+    assert moves <= 3
+    while now_s < 300.0:  # it comes to the freshest, and others are looked at ever more seldom
+        assert at is not None
+        if relays.on_answer(now_s, now_s, ages[at] + now_s, True, 0.1) is not None:
+            at, moves = relays.choose(now_s), moves + 1
+        now_s += HELD_S
+    assert moves <= 16
+
+
+# What is believed
+
+HOSTS = 3
+
+
+@settings(max_examples=400)
+@given(
+    st.lists(st.tuples(st.integers(0, HOSTS - 1), st.sampled_from(ServerStatus)), max_size=30),
+    st.lists(st.tuples(st.integers(0, 2), st.integers(0, 9), st.integers(0, 9), st.integers(0, 9)), max_size=40),
+)
+def test_no_relay_undoes_a_restriction_that_is_known(
+    history: list[tuple[int, ServerStatus]], calls: list[tuple[int, int, int, int]]
+) -> None:
+    """Discovery changes each second; each relay is behind it as it likes, and tells an age that is no less."""
+
+    def state(second: int) -> dict[int, ServerStatus]:
+        return {9: ServerStatus.READY} | dict(history[:second])
+
+    belief, now_s, run, of, shown = Belief(), 1.0, -1, 0, dict[int, ServerStatus]()
+    core: dict[int, ServerStatus] = {}
+    ended = dict.fromkeys(range(HOSTS), -1)  # the latest state in which a restriction of it was read
+    for relay, waits, lag, more in calls:
+        asked_s, now_s = now_s, now_s + 0.3 * waits
+        whole = relay != run or more == 9
+        newest = int(asked_s)
+        of = max(0 if relay != run else of, newest - lag)  # in order within a run
+        if relay != run:
+            belief.begin_anew()
+        run, age_s = relay, max(0.0, asked_s - of) + 0.1 * more
+        new = state(of)
+        gone = [] if whole else [n for n in shown if n not in new]
+        told = [(n, s) for n, s in new.items() if whole or shown.get(n) is not s]
+        told += [(n, ServerStatus.GONE) for n in gone]
+        shown = new
+        entries = [Entry(f"s-{n}", ("h", 1), ListedServer(n, status)) for n, status in told]
+        kind, passed, asks = belief.take(now_s, asked_s, age_s, whole, entries)
+        if asks:
+            run = -1  # the next is whole
+        before, named = dict(core), {e.listed.server: e.listed.status for e in passed}
+        core = {**({} if kind is ListKind.FULL else core), **named}
+        core = {n: status for n, status in core.items() if status is not ServerStatus.GONE}
+        assert core == belief.held
+        for n in range(HOSTS):
+            if core.get(n) is ServerStatus.READY and before.get(n) is not ServerStatus.READY:
+                assert of >= ended[n]
+            if (n in named or n in before) and core.get(n) is not ServerStatus.READY:
+                ended[n] = max(ended[n], of)
+        assert len(belief.ends) <= HOSTS + 1 and len(belief.waiting) <= HOSTS
+
+
+def test_a_subset_that_fails_grows_and_comes_back() -> None:
+    width, now_s, reached = Width(), 100.0, []
+    for _ in range(40):
+        now_s += WIDE_STEP_S / 4
+        reached.append(width.step(now_s, 4, 8))
+    assert reached == sorted(reached) and reached[0] == 1 and reached[-1] == WIDEST
+    assert reached.count(1) >= 4 and reached.count(2) >= 4  # one doubling at a time
+    assert width.step(now_s + WIDE_BACK_S - 1, 3, 8) == WIDEST
+    assert [width.step(now_s + n * (WIDE_BACK_S + 1), 0, 8) for n in range(1, 6)] == [2, 1, 0, 0, 0]
+
+
+# On loopback
+
+
+def relay_list(index: int, *endpoints: dict[str, object], age_ms: object = 100, snapshot: bool = True) -> bytes:
+    return reply(200, json.dumps(hosts_list(index, *endpoints, snapshot=snapshot) | {"age_ms": age_ms}).encode())
+
+
+def holding(whole: bytes) -> Script:
+    """A relay with one list, without news."""
+
+    async def script(exchange: Exchange) -> None:
+        if "from=" in exchange.message.first:
+            await asyncio.sleep(HELD_S / 2)
+            exchange.answer(relay_list(5, snapshot=False))
+        else:
+            exchange.answer(whole)
+
+    return script
+
+
+@asynccontextmanager
+async def behind(
+    host: Peer, relays: list[Peer], discovery: str = "127.0.0.1:9", **options: Any
+) -> AsyncIterator[tuple[Running, list[Peer]]]:
+    """The gateway behind relays, and these in its order."""
+    config = parse(configuration(host, discovery=discovery))
+    addresses = tuple(("127.0.0.1", int(relay.address.split(":")[1])) for relay in relays)
+    program = assemble(config, Options(relays=RelayOptions(addresses, **options)))
+    assert isinstance(program.discovery, RelayedDiscovery)
+    ports = [relay.address[1] for relay in program.discovery.relays.order]
+    by_port = {relay.address[1]: relay.address for relay in program.discovery.relays.order}
+    assert sorted(by_port) == sorted(ports)
+    ordered = sorted(relays, key=lambda relay: ports.index(int(relay.address.split(":")[1])))
+    try:
+        yield Running(program.gateway, program.server, program.pools, program.discovery, 0), ordered
+    finally:
+        program.close()
+
+
+def drained(run: Running, number: int = 0) -> bool:
+    return run.pools.hosts[host_id(number)].drained_us is not None
+
+
+def targets(relay: Peer) -> list[str]:
+    return [exchange.message.first.split(" ")[1] for exchange in relay.seen]
+
+
+@on_loop
+async def test_it_names_itself_and_asks_one_relay_alone() -> None:
+    async with (
+        peer() as host, peer() as a, peer() as b, peer() as discovery,
+        behind(host, [a, b], discovery.address, services=("s1", "s 2")) as (run, (first, second)),
+    ):
+        first.script = holding(relay_list(5, endpoint("s-1", host.address, service="s1", users=12)))
+        run.gateway.start()
+        await until(lambda: len(first.seen) >= 3)
+        named = "/registry/instances?gateway=n0&services=s1,s%202&wide=0"
+        assert targets(first)[:3] == [named] + [named + "&from=5&hold_ms=400"] * 2
+        assert set(run.pools.hosts) == {host_id(1)} and first.opened == 1
+        assert not second.opened and not discovery.opened
+        assert run.module.servers[host_id(1)].entry.users == 12
+
+
+FAULTS: dict[str, Script] = {
+    "reset": lambda exchange: exchange.reset(),
+    "refuses": answers(reply(503)),
+    "rubbish": answers(reply(200, b"not JSON")),
+    "odd age": answers(relay_list(6, age_ms="old")),
+    "no entry that can be used": answers(relay_list(6, {"name": "", "status": "SERVING"})),
+    "silent": silent,
+    "stale": lambda exchange: exchange.answer(relay_list(6, age_ms=60_000, snapshot=False)),
+}
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@on_loop
+async def test_a_relay_that_fails_costs_no_news_and_the_list_stands(fault: str) -> None:
+    async with (
+        peer() as host, peer() as a, peer() as b,
+        behind(host, [a, b]) as (run, (first, second)),
+    ):
+        since: list[float] = []
+
+        def script(exchange: Exchange) -> None:
+            if "from=" not in exchange.message.first and not since:
+                exchange.answer(relay_list(5, endpoint("s-0", host.address)))
+            else:
+                since.append(time.monotonic())
+                FAULTS[fault](exchange)
+
+        first.script = script
+        second.script = holding(relay_list(900, endpoint("s-0", host.address, status="DRAINING")))
+        run.gateway.start()
+        await until(lambda: since)
+        assert not drained(run)
+        await until(lambda: drained(run))
+        assert time.monotonic() - since[0] < HOLD_S + LONG_LATE_S  # when a watch of discovery is given up
+        assert "from=" not in targets(second)[0]
+        left = len(first.seen)
+        await until(lambda: len(second.seen) >= 3)
+        assert len(first.seen) == left and first.ended == first.opened  # it rests, and its connection is closed
+
+
+@on_loop
+async def test_what_a_relay_says_that_was_left_is_not_heard() -> None:
+    async with (
+        peer() as host, peer() as a, peer() as b,
+        behind(host, [a, b]) as (run, (first, second)),
+    ):
+
+        async def late(exchange: Exchange) -> None:
+            await until(lambda: run.discovery.retry)  # it is between the two
+            with suppress(RuntimeError):  # closed already
+                exchange.answer(relay_list(9, endpoint("s-9", host.address)))
+
+        first.script = late
+        second.script = holding(relay_list(5, endpoint("s-0", host.address)))
+        run.gateway.start()
+        await until(lambda: len(second.seen) >= 4)
+        assert first.ended == 1
+        assert set(run.pools.hosts) == {host_id(0)}
+
+
+@pytest.mark.parametrize("age_ms", [1_500, 60_000])
+@on_loop
+async def test_a_move_at_the_moment_of_a_drain_does_not_undo_it(age_ms: int) -> None:
+    """The relay that it moves to has not heard of the drain; what it says counts once its list is as young."""
+    async with (
+        peer() as host, peer() as a, peer() as b,
+        behind(host, [a, b]) as (run, (first, second)),
+    ):
+
+        def told(exchange: Exchange) -> None:
+            leaving = endpoint("s-0", host.address, status="DRAINING")
+            if "from=" in exchange.message.first:
+                exchange.reset()
+            else:
+                exchange.answer(relay_list(5, leaving, endpoint("s-1", host.address)))
+
+        first.script = told
+        old = [endpoint(f"s-{n}", host.address) for n in (0, 1)]
+        second.script = holding(relay_list(5, *old, age_ms=age_ms))
+        run.gateway.start()
+        await until(lambda: len(second.seen) >= 2)  # its list has been heard
+        assert drained(run) and not drained(run, 1)
+        second.script = holding(relay_list(6, *old, age_ms=0))
+        await until(lambda: not drained(run))
+
+
+@on_loop
+async def test_with_all_dead_it_serves_on_asks_discovery_seldom_and_comes_back() -> None:
+    def reset(exchange: Exchange) -> None:
+        exchange.reset()
+
+    async with peer() as host, peer(reset) as a, peer(reset) as b, peer() as discovery:
+        listed = [endpoint(f"s-{n}", host.address, service=s) for n, s in ((1, "s1"), (2, "s2"))]
+        discovery.script = answers(list_reply(70, *listed))
+        async with behind(host, [a, b], discovery.address, services=("s1",), direct_per_s=1) as (run, order):
+            began_s = time.monotonic()
+            run.gateway.start()
+            await until(lambda: all(len(relay.seen) >= 2 for relay in order))
+            assert len(run.pools.hosts) == 1
+            await until(lambda: len(discovery.seen) >= 2)
+            assert len(discovery.seen) <= 1 + (time.monotonic() - began_s)
+            assert targets(discovery)[0] == "/registry/instances" and set(run.pools.hosts) == {host_id(1)}
+            order[1].script = holding(relay_list(5, endpoint("s-3", host.address)))
+            await until(lambda: set(run.pools.hosts) == {host_id(3)})
+            asked = len(discovery.seen)
+            await until(lambda: len(order[1].seen) >= 8)
+            assert len(discovery.seen) == asked
+
+
+@on_loop
+async def test_a_gateway_whose_hosts_fail_asks_for_more() -> None:
+    async with (
+        peer() as host, peer() as a,
+        behind(host, [a]) as (run, (relay,)),
+    ):
+        relay.script = holding(relay_list(5, endpoint("s-0", host.address), endpoint("s-1", host.address)))
+        assert isinstance(run.discovery, RelayedDiscovery)
+        run.discovery.outs = lambda: 1
+        run.gateway.start()
+        await until(lambda: any("&wide=1&from=5" in target for target in targets(relay)))
+
+
+# Settings
+
+
+def test_users_of_an_entry_are_taken_where_they_are_a_count() -> None:
+    names = Names({}, {}, {}, {})
+    for told, users in ((3, 3), (0, 0), (-1, 0), (True, 0), ("7", 0), (2.5, 0)):
+        assert parse_entry(endpoint("s-1", "h:1", users=told, service="s1"), names).listed.users == users
+
+
+@pytest.mark.parametrize("age", [-1, True, 1.5, "1", None, 10**12])
+def test_an_age_that_is_none_is_refused(age: object) -> None:
+    assert age_of({}) == 0.0 and age_of({"age_ms": 1_500}) == 1.5
+    with pytest.raises(ValueError, match="age_ms: expected"):
+        age_of({"age_ms": age})
+
+
+@pytest.mark.parametrize(
+    "table, said",
+    [
+        ({}, "relays: addresses: expected a list of 1 to 64 different host:port, found None"),
+        ({"addresses": []}, "relays: addresses: expected a list of 1 to 64"),
+        ({"addresses": ["h"]}, "relays: addresses: expected a list of 1 to 64"),
+        ({"addresses": ["h:1", "h:1"]}, "relays: addresses: expected a list of 1 to 64 different"),
+        ({"addresses": ["h:1"], "services": "s"}, "relays: services: expected a list of at most 256 different names"),
+        ({"addresses": ["h:1"], "services": ["a,b"]}, "relays: services: expected a list of at most 256"),
+        ({"addresses": ["h:1"], "direct_per_s": 0}, "relays: direct_per_s: expected a whole number from 1 to 10000"),
+        ({"addresses": ["h:1"], "x": 0}, "relays: x: unknown; expected one of addresses, services, direct_per_s"),
+    ],
+)
+def test_options_that_cannot_be_used_name_file_and_key(table: dict[str, Any], said: str) -> None:
+    with pytest.raises(ConfigError) as error:
+        parse_options({"relays": table}, "o.toml")
+    assert str(error.value).startswith("o.toml: " + said)
+
+
+def test_the_file_that_is_shipped_can_be_used() -> None:
+    relays = load({"CLOVERKEEL_OPTIONS": str(ROOT / "deploy" / "relays-gateway.toml")}).relays
+    assert relays == RelayOptions(tuple(("127.0.0.1", port) for port in (7101, 7102, 7103)))
+
+
+def test_what_is_off_is_not_imported() -> None:
+    code = "import sys, cloverkeel.assembly; print([m for m in sys.modules if '.relay' in m or 'urllib' in m])"
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True)
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
