--- a/benchmarks/capacity/budget.py
+++ b/benchmarks/capacity/budget.py
@@ -145,6 +145,12 @@
         changes = times * self.heard * self.change_bytes
         return POLLS_PER_S * self.at("poll_bytes", self.told) + self.others_bytes + changes
 
+    def relayed_bytes(self, times: float) -> float:
+        """The same by what a relay says of each change, also for windows that shift; the widest gateway's part."""
+        least, mean, most = services_of_gateways()
+        each = self.at("relay_change_1_bytes", self.hosts) / self.each_relay * most / mean
+        return POLLS_PER_S * self.at("poll_bytes", self.told) + self.others_bytes + times * self.changes * each
+
     @property
     def others_bytes(self) -> float:
         """A second, at one gateway; the holders of duties are taken for spread evenly."""
@@ -195,6 +201,7 @@
     # With the mechanism, where these rows of its own were measured; else `value` at the subset's size.
     after: Callable[[Load], float] | None = None
     after_rows: tuple[str, ...] = ()
+    would: str = ""  # what would carry it where it is broken with the mechanism too
 
     def by(self, curves: Mapping[str, Curve], subset: bool) -> tuple[Callable[[Load], float], tuple[str, ...]]:
         """How it is worked out, and by which rows."""
@@ -207,28 +214,36 @@
 _REGISTRY = "`cloverkeel.membership.registry`"
 _SUBSET = "relay and subset (docs/relay-design.md)"
 _MODULE = "`Balancer.on_list`"
+_RELAYED = ("poll_bytes", "presence_bytes_per_s", "duties_bytes_per_s", "relay_change_1_bytes")
+_SLICES = "lists taken in slices: so many hosts a turn of the loop"
+_REQUEST = "what a request costs before few hosts too: fewer wakes, and the machine's share"
+_SPREAD = "a subset told in parts at a metered rate, what restricts and what is near first"
+_PARTS = "changes of settings told as changes, and taken as such"
 _RELAY = "`cloverkeel.relay`"
 LINES: Final = (
     Line("gateway, requests", "ordinary day", "p99 added", "ms", PLAN.added_p99_ms,
          lambda at: at.at("quiet_p99_added_ms", at.told), ("quiet_p99_added_ms",), LIST,
-         "`caperdrift.balance`", _SUBSET),
+         "`caperdrift.balance`", _SUBSET, would=_REQUEST),
     Line("gateway, requests", "worst hour", "p99 added while 5 hosts change three times a second", "ms",
          PLAN.added_p99_ms, lambda at: at.at("changes_p99_added_ms", at.told), ("changes_p99_added_ms",), LIST,
-         "`caperdrift.balance`", _SUBSET),
+         "`caperdrift.balance`", _SUBSET, would=_REQUEST),
     Line("gateway, requests", "ordinary day", "CPU of requests, a second", "ms/s", CORE_MS,
          lambda at: PLAN.requests_per_gateway * at.at("quiet_request_us", at.told) / 1e3, ("quiet_request_us",),
          PROGRAM, "`cloverkeel.core.gateway`"),
     Line("gateway, hosts", "ordinary day", "bytes a second for control", "bytes/s", PLAN.control_bytes_per_s,
-         lambda at: at.control_bytes(1), _BYTES, LIST, _REGISTRY, _SUBSET),
+         lambda at: at.control_bytes(1), _BYTES, LIST, _REGISTRY, _SUBSET,
+         after=lambda at: at.relayed_bytes(1), after_rows=_RELAYED),
     Line("gateway, hosts", "worst hour", "bytes a second for control", "bytes/s", PLAN.control_bytes_per_s,
-         lambda at: at.control_bytes(HOUR), _BYTES, LIST, _REGISTRY, _SUBSET),
+         lambda at: at.control_bytes(HOUR), _BYTES, LIST, _REGISTRY, _SUBSET,
+         after=lambda at: at.relayed_bytes(HOUR), after_rows=_RELAYED),
     Line("gateway, hosts", "worst second", "bytes a second, a zone back", "bytes/s", PLAN.control_bytes_per_s,
          lambda at: at.zone_back("change_zone_bytes") / WORST_S, ("change_zone_bytes",), LIST, _REGISTRY, _SUBSET,
          after=lambda at: at.at("relay_change_zone_bytes_most", at.hosts) / WORST_S,
-         after_rows=("relay_change_zone_bytes_most",)),
+         after_rows=("relay_change_zone_bytes_most",), would=_SPREAD),
     Line("gateway, hosts", "worst second", "bytes a second, its start", "bytes/s", PLAN.control_bytes_per_s,
          lambda at: at.at("whole_bytes", at.told) / START_S, ("whole_bytes",), LIST, _REGISTRY, _SUBSET,
-         after=lambda at: at.at("relay_whole_bytes", at.hosts) / START_S, after_rows=("relay_whole_bytes",)),
+         after=lambda at: at.at("relay_whole_bytes", at.hosts) / START_S, after_rows=("relay_whole_bytes",),
+         would=_SPREAD),
     Line("gateway, hosts", "ordinary day", "CPU for control, a second", "ms/s", PLAN.control_core * CORE_MS,
          lambda at: at.control_ms(1), _CPU, LIST, _MODULE, _SUBSET),
     Line("gateway, hosts", "worst hour", "CPU for control, a second", "ms/s", PLAN.control_core * CORE_MS,
@@ -237,19 +252,25 @@
          PLAN.control_core * CORE_MS, lambda at: at.control_ms(1) + at.zone_back("change_zone_cpu_ms") / WORST_S,
          (*_CPU, "change_zone_cpu_ms"), LIST, _MODULE, _SUBSET),
     Line("gateway, hosts", "ordinary day", "longest stop of the loop, one change", "ms", STOP_MS,
-         lambda at: at.at("change_1_stop_ms", at.told), ("change_1_stop_ms",), LIST, _MODULE, _SUBSET),
+         lambda at: at.at("change_1_stop_ms", at.told), ("change_1_stop_ms",), LIST, _MODULE, _SUBSET,
+         would=_SLICES),
     Line("gateway, hosts", "ordinary day", "longest stop of the loop, the collector", "ms", STOP_MS,
-         lambda at: at.at("collector_ms", at.told), ("collector_ms",), LIST, "`cloverkeel.__main__`", _SUBSET),
+         lambda at: at.at("collector_ms", at.told), ("collector_ms",), LIST, "`cloverkeel.__main__`", _SUBSET,
+         would="hosts frozen out of the collector's sight once they are known"),
     Line("gateway, hosts", "worst second", "longest stop of the loop, a zone back", "ms", STOP_MS,
-         lambda at: at.zone_back("change_zone_stop_ms"), ("change_zone_stop_ms",), LIST, _MODULE, _SUBSET),
+         lambda at: at.zone_back("change_zone_stop_ms"), ("change_zone_stop_ms",), LIST, _MODULE, _SUBSET,
+         would=_SLICES),
     Line("gateway, hosts", "worst second", "longest stop of the loop, a whole list", "ms", STOP_MS,
-         lambda at: at.at("whole_stop_ms", at.told), ("whole_stop_ms",), LIST, _REGISTRY, _SUBSET),
+         lambda at: at.at("whole_stop_ms", at.told), ("whole_stop_ms",), LIST, _REGISTRY, _SUBSET,
+         would=_SLICES),
     Line("gateway, hosts", "worst second", "start to ready", "ms", START_S * 1e3,
          lambda at: at.at("ready_ms", at.told), ("ready_ms",), LIST, "`cloverkeel.__main__`", _SUBSET),
     Line("gateway, hosts", "ordinary day", "memory, with what it would have to know of routes and tenants", "MB",
-         PLAN.control_mb, lambda at: at.memory(), ("resident_mb", *_MEMORY), LIST, _MODULE, _SUBSET, True),
+         PLAN.control_mb, lambda at: at.memory(), ("resident_mb", *_MEMORY), LIST, _MODULE, _SUBSET, True,
+         would="tenants and routes of its own services alone"),
     Line("gateway, hosts", "worst second", "the same, with a whole list told to it once", "MB", PLAN.control_mb,
-         lambda at: at.memory(most=True), ("resident_most_mb", *_MEMORY), LIST, _REGISTRY, _SUBSET, True),
+         lambda at: at.memory(most=True), ("resident_most_mb", *_MEMORY), LIST, _REGISTRY, _SUBSET, True,
+         would="tenants and routes of its own services alone"),
     Line("gateway, others", "ordinary day", "bytes a second, presence and duties", "bytes/s",
          PLAN.control_bytes_per_s, lambda at: at.others_bytes,
          ("presence_bytes_per_s", "duties_bytes_per_s"), OTHERS, "`cloverkeel.sharing`, `cloverkeel.duties`"),
@@ -263,18 +284,19 @@
          "`cloverkeel.sharing.rumours`"),
     Line("gateway, settings", "ordinary day", "bytes a second, if each change brings the whole file", "bytes/s",
          PLAN.control_bytes_per_s, lambda at: at.configurations * at.settings("bytes"), ("tenants_reload_bytes",),
-         SETTINGS, priced=True),
+         SETTINGS, would=_PARTS, priced=True),
     Line("gateway, settings", "ordinary day", "CPU a second of reloads", "ms/s", PLAN.control_core * CORE_MS,
          lambda at: at.configurations * at.settings("cpu_ms"), ("tenants_reload_cpu_ms",), SETTINGS,
-         "`cloverkeel.core.reload`: only discovery's address is taken", priced=True),
+         "`cloverkeel.core.reload`: only discovery's address is taken", would=_PARTS,
+         priced=True),
     Line("gateway, settings", "ordinary day", "part of the time that the loop stands for reloads", "share", MET,
          lambda at: at.configurations * at.settings("stop_ms") / 1e3, ("tenants_reload_stop_ms",), SETTINGS,
-         "`cloverkeel.core.reload`", priced=True),
+         "`cloverkeel.core.reload`", would=_PARTS, priced=True),
     Line("gateway, settings", "ordinary day", "until a reload is read", "ms", PLAN.configuration_s * 1e3,
-         lambda at: at.settings("ms"), ("tenants_reload_ms",), SETTINGS, "`cloverkeel.core.reload`"),
+         lambda at: at.settings("ms"), ("tenants_reload_ms",), SETTINGS, "`cloverkeel.core.reload`", would=_PARTS),
     Line("gateway, settings", "ordinary day", "memory while one is read, beside the program", "MB", PLAN.control_mb,
          lambda at: at.at("resident_mb", at.told) + at.settings("most_mb"),
-         ("resident_mb", "tenants_reload_most_mb"), SETTINGS, "`cloverkeel.core.config`"),
+         ("resident_mb", "tenants_reload_most_mb"), SETTINGS, "`cloverkeel.core.config`", would=_PARTS),
     Line("relay", "ordinary day", "bytes out a second, each", "bytes/s", LINK,
          lambda at: at.each_relay * POLLS_PER_S * at.at("poll_bytes", 1)
          + at.changes * at.at("relay_change_1_bytes", at.hosts),
@@ -298,7 +320,8 @@
          lambda at: WAVE * at.each_relay * at.at("relay_whole_cpu_ms", at.hosts), ("relay_whole_cpu_ms",), RELAYS,
          _RELAY, only_after=True),
     Line("relay", "worst second", "longest step, a whole list taken", "ms", NEWS_MS,
-         lambda at: at.at("relay_take_stop_ms", at.hosts), ("relay_take_stop_ms",), RELAYS, _RELAY, only_after=True),
+         lambda at: at.at("relay_take_stop_ms", at.hosts), ("relay_take_stop_ms",), RELAYS, _RELAY, only_after=True,
+         would=_SLICES),
     Line("relay", "ordinary day", "memory of the list and of what each gateway has", "MB", None,
          lambda at: at.at("relay_kept_mb", at.hosts), ("relay_kept_mb",), RELAYS, _RELAY, only_after=True),
     Line("discovery", "ordinary day", "calls a second that it answers", "/s", None,
--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -214,6 +214,16 @@
     def table_ranking_after(self) -> str:
         return self.ranked(self.after)
 
+    def table_broken(self) -> str:
+        """With the mechanism: what is broken at the plan's size all the same."""
+        rows = [
+            (share(found.share), found.line.role, f"{found.line.what}, {found.line.unit}", figure(found.value),
+             limit(found.line.limit), found.line.would or "not known")
+            for found in ranking(self.after) if (found.share or 0.0) < 1
+        ]  # fmt: skip
+        heads = ("breaks at", "role", "what", "at the plan's size", "limit", "what would carry it")
+        return table(heads, rows, right=(0, 3, 4))
+
     def table_causes(self) -> str:
         """By cause: limits that break below the plan's size, before and after."""
         rows = []
