A change of the list costs the module what changed: order kept by bisect, no mean without need

Order and mean of weights were made anew for the whole list at each event. A change now takes out and places what came or left; the mean is made only where a process is new; a refusal looks no further than the first server that is not open; a keyed repeat asks for the warmth of a server before it searches the reach.

--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -8,7 +8,7 @@
 
 import hashlib
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from caperdrift.balance import Balancer
@@ -55,6 +55,7 @@
 
     seed: int
     events: int = 2_000
+    told: bool = True  # lists say how many proxies know a server; False for decisions that know no such word
     now_us: int = 50_000_000
     count: int = 0
     out: list[tuple[str, int, int, int]] = field(default_factory=list)  # request, attempt, server, sent
@@ -66,19 +67,24 @@
         self.dice = random.Random(self.seed)
         self.settings = draw_settings(self.dice)
         self.balancer = Balancer(self.settings, self.seed)
-        self.servers = self.dice.choice((1, 3, 12, 64))
+        self.servers = self.dice.choice((1, 3, 12, 64, 300))
         self.slow = 1.0
 
     def listed(self, number: int) -> ListedServer:
         dice = self.dice
         started_us = dice.choice((0, 0, self.now_us, self.now_us - dice.randrange(20_000_000)))
         status = dice.choice((ServerStatus.READY,) * 8 + (ServerStatus.DRAINING, ServerStatus.GONE))
+        words = {"users": dice.choice((0, 1, 7, 40))} if self.told and self.seed % 2 else {}
         return ListedServer(
-            number, status, dice.choice((0.5, 1.0, 1.0, 2.0)), dice.randrange(3), dice.randrange(3), 0, started_us
-        )
+            number, status, dice.choice((0.5, 1.0, 1.0, 2.0)), dice.randrange(3), dice.randrange(3), 0, started_us,
+            **words,
+        )  # fmt: skip
 
     def list_event(self, kind: ListKind) -> ServerList:
-        numbers = range(self.servers) if kind is not ListKind.DELTA else [self.dice.randrange(self.servers + 2)]
+        numbers: Sequence[int] = range(self.servers)
+        if kind is ListKind.DELTA:
+            count = self.dice.choice((1, 1, 1, 5, self.servers // 4 + 1))
+            numbers = self.dice.sample(range(self.servers + 2), min(count, self.servers))
         return ServerList(kind, tuple(self.listed(n * 7919 + 5) for n in numbers if self.dice.random() < 0.95))
 
     def arrival(self) -> RequestArrived:
--- a/caperdrift/balance.py
+++ b/caperdrift/balance.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from bisect import bisect_left, insort
 from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
@@ -16,10 +17,9 @@
 from typing import Any, Final
 
 from caperdrift.interface import (
-    NEVER_RAN, Action, AnswerAll, AttemptEnded, Cancel, ColdShare, Effect, Event, Fail, Hearsay,
-    ListedServer, ListKind, Log, Outcome, ProcessesChanged, Refuse, RequestArrived, RequestGone,
-    RetryRights, Scope, Send, ServerList, ServerStatus, SetTimer, Settings, StreamStarted, TimerFired,
-    TrialsHeld, WatchList,
+    NEVER_RAN, Action, AnswerAll, AttemptEnded, Cancel, ColdShare, Effect, Event, Fail, Hearsay, ListedServer,
+    ListKind, Log, Outcome, ProcessesChanged, Refuse, RequestArrived, RequestGone, RetryRights, Scope, Send,
+    ServerList, ServerStatus, SetTimer, Settings, StreamStarted, TimerFired, TrialsHeld, WatchList,
 )
 
 # The breaker
@@ -107,6 +107,8 @@
 SWEEP_US: Final = 1_000_000  # between looks for attempts that nobody ended, while any is out
 WRITE_OFF_US: Final = 2_000_000  # past its time an attempt is held to be lost: a defect somewhere
 
+RANK: Final = attrgetter("rank")
+
 
 class State(Enum):
     CLOSED = "closed"
@@ -273,9 +275,7 @@
 
 
 class Attempt:
-    __slots__ = (
-        "end_us", "ended", "may_have_run", "overdue", "part_trial_of", "sent_us", "server", "trial_of",
-    )
+    __slots__ = "end_us", "ended", "may_have_run", "overdue", "part_trial_of", "sent_us", "server", "trial_of"
 
     def __init__(self, server: Server, sent_us: int, end_us: int, trial_of: int, part_trial_of: int) -> None:
         self.server = server
@@ -605,10 +605,9 @@
 
     def retry_after_us(self) -> int:
         """The shortest cooldown left where every server is open, else none."""
-        breakers = [s.breaker for s in self.servers.values()]
-        if not breakers or any(b.state is not State.OPEN for b in breakers):
+        if not self.servers or any(s.breaker.state is not State.OPEN for s in self.servers.values()):
             return 0
-        wait_us = min(b.open_until_us for b in breakers) - self.now_us
+        wait_us = min(s.breaker.open_until_us for s in self.servers.values()) - self.now_us
         return max(0, min(wait_us, self.settings.max_retry_after_us))
 
     def finish(self, request: Request) -> None:
@@ -846,7 +845,7 @@
                 return []
             servers = [s for s in self.ranked if s not in tried and self.is_eligible(s, request.klass)]
             reached = self.ranked[: math.ceil(self.reach)]
-            servers = [s for s in servers if s in reached or self.cold_share(s) >= 1.0]
+            servers = [s for s in servers if self.cold_share(s) >= 1.0 or s in reached]
             if klass.scope is Scope.ZONE:
                 servers = [s for s in servers if all(s.entry.zone == a.server.entry.zone for a in ran)]
             elif klass.scope is Scope.GROUP:
@@ -1005,15 +1004,12 @@
 
     def silences(self, now_us: int) -> list[int]:
         """Servers that get nothing more as their oldest attempt out is overdue."""
-        return [
-            number for number, server in self.servers.items()
-            if server.out and now_us - next(iter(server.out.values())) > self.silent_us
-        ]  # fmt: skip
+        busy = [(number, server.out) for number, server in self.servers.items() if server.out]
+        return [number for number, out in busy if now_us - next(iter(out.values())) > self.silent_us]
 
     def start_of(self, number: int) -> int:
         """When a server's process started, as listed; -1 for one that is not."""
-        server = self.servers.get(number)
-        return server.entry.started_us if server is not None else -1
+        return self.servers[number].entry.started_us if number in self.servers else -1
 
     def outs(self, now_us: int) -> list[tuple[int, bool]]:
         """Servers whose breaker is not closed, and whether they are tried: one whose cooldown is long over
@@ -1223,13 +1219,21 @@
             named = {entry.server for entry in event.servers}
             for number in [number for number in self.servers if number not in named]:
                 self.take_leave(number)
-        # Once for the whole list: of those that are the processes they were.
+        # Once for the whole list, where a process is new: of those that are the processes they were.
         anew = {e.server for e in event.servers if self.is_anew(e)}
-        weights = [server.weight for number, server in self.servers.items() if number not in anew]
+        weights = [s.weight for number, s in self.servers.items() if number not in anew] if anew else []
         mean = sum(weights) / len(weights) if weights else CEILING
+        before = {e.server: self.servers.get(e.server) for e in event.servers if event.kind is ListKind.DELTA}
         for entry in event.servers:
             self.list_server(entry, mean)
-        self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
+        if event.kind is not ListKind.DELTA:
+            self.ranked = sorted(self.servers.values(), key=RANK)
+        for number, left in before.items():  # a change costs by what changed: the rest stands as it did
+            came = self.servers.get(number)
+            if left is not came and left is not None:
+                del self.ranked[self.ranked.index(left, bisect_left(self.ranked, left.rank, key=RANK))]
+            if left is not came and came is not None:
+                insort(self.ranked, came, key=RANK)
 
     def take_leave(self, number: int) -> None:
         """A server has left the list; of the last few that did, what was known is kept."""
@@ -1243,7 +1247,7 @@
 
     def is_anew(self, entry: ListedServer) -> bool:
         known = self.servers.get(entry.server)
-        return known is not None and known.entry.started_us != entry.started_us
+        return known is None or known.entry.started_us != entry.started_us
 
     def list_server(self, entry: ListedServer, mean: float) -> None:
         known = self.servers.get(entry.server)
@@ -1273,8 +1277,8 @@
             retold = known.entry.users != entry.users and self.now_us < known.settled_at_us
             had_us = self.pay_off(known) if retold else 0.0  # up to now by what was told before
             known.entry, known.near = entry, self.nearness(entry)
-            if retold:  # a larger part begins empty: those that know it no longer may just have spent theirs
-                known.spent_us += max(0.0, self.pay_off(known) - had_us)
+            # A larger part begins empty: those that know the server no longer may just have spent theirs.
+            known.spent_us += max(0.0, self.pay_off(known) - had_us) if retold else 0.0
 
     def log(self, line: str) -> None:
         """Say what was seen, at most so often: a wide failure must not bury its own beginning."""
