Lists: long ones are told in parts between which requests are served; the collector's pass stays small

A whole list of 600 hosts stopped the loop for as long as the module took with all of them, and what lists bring was looked at by every full pass of the collector. Lists of more than 200 entries: what restricts is told at once, the rest 50 entries a turn.

--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -92,6 +92,7 @@
 
     from cloverkeel.assembly import assemble
     from cloverkeel.core.emptying import LAST_S
+    from cloverkeel.core.freezing import Freezer
     from cloverkeel.core.log import log
     from cloverkeel.core.reload import Reloader
 
@@ -132,6 +133,7 @@
         gc.collect()
         gc.freeze()  # what the start has made is never garbage
         gc.set_threshold(GC_NEW, 10, 10)
+        gateway.on_told = Freezer(loop.call_soon).took
         await stop.wait()
         program.leave()
         try:
--- a/cloverkeel/core/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -25,6 +25,7 @@
     Fail,
     FetchList,
     Hearsay,
+    ListedServer,
     ListKind,
     Log,
     Outcome,
@@ -52,6 +53,7 @@
 from cloverkeel.core.loop_timers import LoopTimers
 from cloverkeel.core.messages import Reply
 from cloverkeel.core.ports import Attempt, Decisions, End, Entry, Membership, Upstream
+from cloverkeel.core.slices import Slices
 from cloverkeel.core.stillness import BEAT_US, Stillness
 from cloverkeel.core.tally import EVERY_US, Tally
 
@@ -90,7 +92,12 @@
         membership.tell(self.on_list)
         # What has happened, by what may be done with it while membership catches up: lists are handled, first of all;
         # what is urgent as well, since nothing is sent for it; the rest waits, till its request's time is over.
+        # Of a long list only what restricts is handled so; the rest in parts, one in a turn of the loop.
         self.lists: deque[tuple[ListKind, list[Entry]]] = deque()
+        self.slices = Slices()
+        self.part_due = False  # this turn's part is yet to be handled
+        self.turn: asyncio.Handle | None = None
+        self.on_told: Callable[[int], None] | None = None  # the module was told so many entries
         self.urgent: deque[Happened] = deque()
         self.events: deque[tuple[Happened, Held | None]] = deque()
         self.handling = False
@@ -125,6 +132,8 @@
 
     def close(self) -> None:
         self.closed = True
+        if self.turn is not None:
+            self.turn.cancel()
         if self.beat_timer is not None:
             self.beat_timer.cancel()
         self.timers.close()
@@ -224,6 +233,8 @@
             if not self.closed:
                 self.on_gap()
             return
+        if self.slices.waiting and not self.handling:
+            self.work()  # while it holds: the rest of a list comes before anything is sent
         if self.still.end(now_us(), caught_up) and not self.handling:
             self.work()
 
@@ -259,6 +270,10 @@
                 if self.lists:
                     self.handle(at_us, self.take_list(*self.lists.popleft()))
                     continue
+                if self.slices.waiting and (self.part_due or not may_write):
+                    self.part_due = False
+                    self.handle(at_us, self.tell(ListKind.DELTA, self.slices.next()))
+                    continue
                 if self.urgent:
                     happened = self.urgent.popleft()()
                 elif self.events and may_write:
@@ -315,10 +330,37 @@
         return RequestGone(held.ticket)
 
     def take_list(self, kind: ListKind, entries: list[Entry]) -> Event:
+        gone: list[int] = []
         if kind is not ListKind.ERROR and kind is not ListKind.DELTA:
-            self.pools.keep_only({entry.listed.server for entry in entries})
+            gone = self.pools.keep_only({entry.listed.server for entry in entries})
+            self.slices.forget_all()
         self.entries += len(entries) if kind is not ListKind.DISK else 0
-        entries = [entry for entry in entries if not self.is_namesake(entry)]
+        kept = [entry for entry in entries if not self.is_namesake(entry)]
+        if self.still.holds or kind is ListKind.DISK:
+            # Nothing is sent meanwhile, or nothing can be: the first list of all.
+            now = self.slices.take_all(kept)
+        else:
+            now = self.slices.take(kept, self.pools.known(), self.is_another)
+        if len(now) == len(kept):
+            return self.tell(kind, now)
+        if self.turn is None:
+            self.turn = self.loop.call_soon(self.on_turn)
+        if kind is not ListKind.DELTA:
+            gone += {entry.listed.server for entry in entries} - {entry.listed.server for entry in kept}
+        return self.tell(ListKind.DELTA, now, tuple(ListedServer(number, ServerStatus.GONE) for number in gone))
+
+    def on_turn(self) -> None:
+        """Requests have been served since the last part of a list: the next one."""
+        self.part_due = bool(self.slices.waiting)
+        self.work()
+        self.turn = self.loop.call_soon(self.on_turn) if self.slices.waiting and not self.closed else None
+
+    def is_another(self, entry: Entry) -> bool:
+        return self.pools.is_another(entry.listed.server, entry.address, entry.listed.started_us)
+
+    def tell(self, kind: ListKind, entries: list[Entry], gone: tuple[ListedServer, ...] = ()) -> Event:
+        if self.on_told is not None:
+            self.on_told(len(entries))
         for entry in entries:
             listed = entry.listed
             if listed.status is ServerStatus.GONE:
@@ -326,11 +368,11 @@
             else:
                 ready = listed.status is ServerStatus.READY
                 self.pools.put(listed.server, entry.name, entry.address, ready, listed.started_us)
-        return ServerList(kind, tuple(entry.listed for entry in entries))
+        return ServerList(kind, gone + tuple(entry.listed for entry in entries))
 
     def is_namesake(self, entry: Entry) -> bool:
         """Whether the number of this entry is that of another host: numbers are hashes of names."""
-        name = self.pools.name_of(entry.listed.server)
+        name = self.pools.name_of(entry.listed.server) or self.slices.name_of(entry.listed.server)
         if name is None or name == entry.name:
             return False
         log(f"{entry.name} is skipped: its number is that of {name}")
--- a/cloverkeel/core/ports.py
+++ b/cloverkeel/core/ports.py
@@ -93,7 +93,14 @@
 
     def remove(self, id_: int) -> None: ...
 
-    def keep_only(self, named: set[int]) -> None: ...
+    def keep_only(self, named: set[int]) -> list[int]:
+        """Forget every server that is not named; returns those."""
+
+    def known(self) -> int:
+        """Servers that are known."""
+
+    def is_another(self, id_: int, address: Address, started_us: int) -> bool:
+        """Whether a server is known, and as another process or at another address."""
 
     def close_idle(self, id_: int) -> None: ...
 
--- /dev/null
+++ b/cloverkeel/core/slices.py
@@ -0,0 +1,71 @@
+"""Long lists of hosts in parts: what restricts is told at once, the rest some hosts a turn of the loop. Pure.
+
+A list of six hundred hosts, told in one piece, stops the loop for longer than a request may be held up. Between two
+parts requests are served.
+
+Invariants:
+- what has been told and what waits are together the newest word on each host: what a newer list says of a host, or a
+  whole one by not naming it, takes the place of what waits;
+- what waits restricts nothing: hosts that drain, are gone, have moved or are new processes are told at once;
+- a list of AT_ONCE entries or fewer is told in one piece, and so is one of a gateway that knows few hosts yet: what
+  comes meanwhile would go to the few of the first part, from every gateway that starts at that time;
+- bounded: one entry a host, of those that a whole list named and changes since.
+It may not know who tells the module, nor what time it is.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import islice
+from typing import Final
+
+from caperdrift.interface import ServerStatus
+
+from cloverkeel.core.ports import Entry
+
+AT_ONCE: Final = 200  # entries: the platform's whole list is no longer
+SLICE: Final = 50  # entries in a turn: under a millisecond, all of them new, on a machine with other work
+KNOWN_LEAST: Final = 4  # times the hosts known are fewer than those named: the list is told in one piece
+
+
+class Slices:
+    """What waits of long lists, by the hosts' numbers, in the order in which it came."""
+
+    def __init__(self) -> None:
+        self.waiting: dict[int, Entry] = {}
+
+    def name_of(self, server: int) -> str | None:
+        """Of a host that waits to be told."""
+        entry = self.waiting.get(server)
+        return entry.name if entry is not None else None
+
+    def forget_all(self) -> None:
+        """A whole list has come: what waits of those before it is void."""
+        self.waiting.clear()
+
+    def take_all(self, entries: list[Entry]) -> list[Entry]:
+        """The whole of a list is told now."""
+        for entry in entries if self.waiting else ():
+            self.waiting.pop(entry.listed.server, None)
+        return entries
+
+    def take(self, entries: list[Entry], known: int, is_another: Callable[[Entry], bool]) -> list[Entry]:
+        """What of a list is to be told now; the rest waits.
+
+        `known`: how many hosts are known now, what the list leaves out taken off already. `is_another`: whether a
+        host is known as another process, or at another address.
+        """
+        if len(entries) <= AT_ONCE or len(entries) > KNOWN_LEAST * known:
+            return self.take_all(entries)
+        now: list[Entry] = []
+        for server, entry in {entry.listed.server: entry for entry in entries}.items():
+            self.waiting.pop(server, None)
+            if entry.listed.status is not ServerStatus.READY or is_another(entry):
+                now.append(entry)
+            else:
+                self.waiting[server] = entry
+        return now
+
+    def next(self) -> list[Entry]:
+        """The next part of what waits; empty where nothing does."""
+        return [self.waiting.pop(server) for server in list(islice(self.waiting, SLICE))]
--- a/cloverkeel/upstream/pools.py
+++ b/cloverkeel/upstream/pools.py
@@ -261,10 +261,19 @@
     def is_empty(self) -> bool:
         return not self.hosts
 
-    def keep_only(self, named: set[int]) -> None:
-        """Forget every host that a whole list does not name."""
-        for id_ in [id_ for id_ in self.hosts if id_ not in named]:
+    def known(self) -> int:
+        return len(self.hosts)
+
+    def is_another(self, id_: int, address: Address, started_us: int) -> bool:
+        host = self.hosts.get(id_)
+        return host is not None and (host.address, host.started_us) != (address, started_us)
+
+    def keep_only(self, named: set[int]) -> list[int]:
+        """Forget every host that a whole list does not name; returns those."""
+        gone = [id_ for id_ in self.hosts if id_ not in named]
+        for id_ in gone:
             self.remove(id_)
+        return gone
 
     # Attempts
 
