--- a/cloverkeel/membership/relayed.py
+++ b/cloverkeel/membership/relayed.py
@@ -11,7 +11,7 @@
 import json
 import random
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 from caperdrift.interface import ListKind
 
@@ -44,10 +44,6 @@
         self.is_held = False  # the call that is out
         self.moves = 0
 
-    def take_known(self, raw: dict[str, Any]) -> None:
-        super().take_known(raw)
-        self.plan.begin_anew()  # the version of the list from before is nobody's
-
     def where(self) -> Address:
         return self.address if self.relays.at is None else self.relays.at.address
 
--- a/cloverkeel/membership/relays.py
+++ b/cloverkeel/membership/relays.py
@@ -57,8 +57,8 @@
 REST_S: Final = 10.0  # a relay that was left for cause is tried last for so long, and twice that the next time
 REST_MOST_S: Final = 320.0
 PROVEN_S: Final = 30.0  # who answered well for so long has made up for it
-VOLUNTARY_S: Final = 2.0  # between moves away from a relay that answers; twice that each time where all are stale
-VOLUNTARY_MOST_S: Final = 32.0
+VOLUNTARY_S: Final = 2.0  # between moves away from a relay that answers
+LOOK_MOST_S: Final = 32.0  # where all are stale, to see how another is: from VOLUNTARY_S on, twice that each time
 # Age
 STALE_S: Final = 3.0  # a healthy relay's is 1 s and some, at the worst of its hold; a drain counts as told after 6 s
 STALE_SPREAD_S: Final = 1.0  # all gateways see a relay turn stale in one moment
@@ -137,19 +137,24 @@
         self.failures = 0  # in a row
         self.since_s = -inf  # when this one was chosen
         self.may_leave_s = -inf  # who answers is not left before
-        self.leaving_s: float | None = None  # a stale one is left then
+        self.may_look_s = -inf  # a stale one is not left before for one of which nothing is known
+        self.wish: Relay | None = None  # the freshest of the stale, if that is to be the next
+        self.leaving_s: float | None = None  # a stale one is left then, to spread
         self.stale_moves = 0  # in a row
 
     def choose(self, now_s: float) -> Relay | None:
         """Whom to ask from now on; None: discovery itself, once."""
         self.since_s, self.leaving_s = now_s, None
+        wish, self.wish = self.wish, None
         if self.direct_due_s is not None and now_s >= self.direct_due_s:
             self.direct_s, self.direct_due_s = now_s, now_s + self.direct_every_s
             self.at = None
             return None
         rested = [relay for relay in self.order if relay.rests_until_s <= now_s]
         stale = [relay for relay in self.order if not relay.fails and relay.as_of_s > -inf]
-        if rested:
+        if wish is not None:
+            self.at = wish
+        elif rested:
             self.at = rested[0]
         elif stale:
             self.at = max(stale, key=lambda relay: relay.as_of_s)
@@ -190,21 +195,23 @@
         return max(0.0, self.since_s + MOVE_GAP_S - now_s) if leaves else None
 
     def _leaves_stale(self, relay: Relay, now_s: float, chance: float) -> bool:
-        better = any(
-            other is not relay and (other.rests_until_s <= now_s or other.as_of_s > relay.as_of_s + FRESHER_S)
-            for other in self.order
-        )
-        if not better:
+        freshest = max(self.order, key=lambda other: other.as_of_s)
+        is_known = freshest.as_of_s > relay.as_of_s + FRESHER_S
+        if not is_known and not any(other.rests_until_s <= now_s for other in self.order if other is not relay):
             self.leaving_s = None
             return False
         if self.leaving_s is None:
-            self.leaving_s = max(now_s + chance * STALE_SPREAD_S, self.may_leave_s)
-        if now_s < self.leaving_s:
+            self.leaving_s = now_s + chance * STALE_SPREAD_S
+        if now_s < max(self.leaving_s, self.may_leave_s, -inf if is_known else self.may_look_s):
             return False
         self._rest(relay, now_s, chance)
-        pause_s = min(VOLUNTARY_S * float(2 ** min(self.stale_moves, 8)), VOLUNTARY_MOST_S)
-        self.stale_moves += 1
-        self.may_leave_s = now_s + pause_s * (1.0 + 0.5 * chance)
+        self.may_leave_s = now_s + VOLUNTARY_S
+        if is_known:
+            self.wish = freshest
+        else:
+            pause_s = min(VOLUNTARY_S * float(2 ** min(self.stale_moves, 8)), LOOK_MOST_S)
+            self.stale_moves += 1
+            self.may_look_s = now_s + pause_s * (1.0 + 0.5 * chance)
         return True
 
     def _goes_back(self, relay: Relay, now_s: float) -> bool:
