--- /dev/null
+++ b/cloverkeel/relay/subset.py
@@ -0,0 +1,171 @@
+"""Which hosts a gateway has: windows on rings of a service's hosts (docs/relay-design.md). Pure: no I/O, no clock.
+
+A ring has the hosts of one service in one zone that serve, in the order of a hash. N gateways that share it stand on
+the same ring, evenly: number i begins at floor((i + 1/2) H / N) and has the next k of its H hosts.
+
+Invariants, for each ring and each group of N gateways on it:
+- how many gateways have a host differs by at most one between any two hosts, and is never none; where all ask with
+  the same `wide`, it is at most users_of(H, (N,), wide);
+- one host more or less brings at most 2 hosts into a window and takes at most 2 out of it;
+- the ring is the same for the same hosts, in whatever order they came.
+A service's shape says who shares which ring. Where fewer than LEAST_SERVING hosts of a region's own rings serve, its
+gateways share those of the other regions too. A zone that no region has, or whose region has no gateway before the
+service, is shared by all gateways before it: no host is left without one.
+
+Cost of a change: bisect and one move inside a list of pointers; the rest of a ring is left as it is.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterable, Sequence
+from operator import attrgetter
+from typing import Final
+
+from cloverkeel.core.config import stable_id
+from cloverkeel.relay.asks import WIDEST
+from cloverkeel.relay.roster import Group, Roster
+
+LEAST: Final = 8  # hosts in a window, and gateways at a host, where there are so many: two of a zone may fail at once
+LEAST_SERVING: Final = 3  # in a gateway's region, before it has those of the others too
+FEW: Final = 16  # changes of one ring at once that are made one by one; with more it is sorted anew
+DIGITS: Final = 4  # binary ones, of what is told as `users`
+
+
+class Host:
+    """One host as discovery has it. Never changed: who compares two by identity sees whether anything is other."""
+
+    __slots__ = ("name", "place", "rest", "serves", "service", "told", "users", "zone")
+
+    def __init__(self, name: str, service: str, zone: str, serves: bool, rest: bytes) -> None:
+        """`rest`: its entry as a JSON object, without `status` and `users`, and without braces."""
+        self.name, self.service, self.zone, self.serves, self.rest = name, service, zone, serves, rest
+        self.place = (stable_id(f"{service}\0{zone}\0{name}", 8), name)
+        self.users, self.told = -1, b""
+
+    def entry(self, users: int) -> bytes:
+        """As it is told, encoded once for as long as `users` is the same (it is the ring's)."""
+        if users != self.users:
+            status = b"SERVING" if self.serves else b"DRAINING"
+            self.users, self.told = users, b'{"status":"%s",%s,"users":%d}' % (status, self.rest, users)
+        return self.told
+
+    def plain(self) -> bytes:
+        """As discovery says it."""
+        return b'{"status":"%s",%s}' % (b"SERVING" if self.serves else b"DRAINING", self.rest)
+
+    def deleted(self) -> bytes:
+        return b'{"status":"DELETED",%s}' % self.rest
+
+
+def width(hosts: int, gateways: int, wide: int = 0) -> int:
+    """Hosts in a window, of `hosts` on the ring that `gateways` (1 or more) share."""
+    least = LEAST << wide
+    return min(hosts, max(least, -(-least * hosts // gateways)))
+
+
+def start(hosts: int, gateways: int, place: int) -> int:
+    """Where the window of number `place` begins, of `hosts` (1 or more)."""
+    return (2 * place + 1) * hosts // (2 * gateways) % hosts
+
+
+def users_of(hosts: int, sizes: Iterable[int], wide: int = 0) -> int:
+    """Gateways that have a host at the most, where groups of these sizes share its ring and all ask so wide.
+
+    One more than the windows make, for one that the roster lacks, and rounded up to four binary digits (by an
+    eighth at the most): so that a ring does not tell its hosts anew at each change. Where hosts >= gateways it is
+    the same for all of them.
+    """
+    most = 0
+    for size in sizes:
+        if width(hosts, max(size, 1), wide) >= hosts:
+            most += size
+        else:
+            least = LEAST << wide
+            most += min(size, least + 2 if size <= hosts else -(-least * size // hosts) + 1)
+    step = 1 << max(0, most.bit_length() - DIGITS)
+    return max(1, most + -most % step)
+
+
+class Ring:
+    """The hosts of a service in a zone that serve, in order. `known` counts those that don't serve too."""
+
+    __slots__ = ("changed", "hosts", "known", "sizes", "users", "whole", "zone")
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.hosts: list[Host] = []
+        self.known = 0
+        self.changed = 0  # the feed's number of the last change that windows here may have to do with
+        self.sizes: tuple[int, ...] = ()  # of the groups that share it
+        self.users: dict[int, int] = {}  # by wide, WIDEST + 1 of them
+        self.whole: tuple[Host, ...] | None = None  # shared by all whose window is the ring
+
+    def change(self, out: Sequence[Host], put: Sequence[Host]) -> None:
+        """Take out some of its hosts (they are there), and put in others."""
+        self.whole = None
+        if len(out) + len(put) > FEW:
+            left = set(out)
+            self.hosts = [host for host in self.hosts if host not in left]
+            self.hosts.extend(put)
+            self.hosts.sort(key=attrgetter("place"))
+            return
+        for host in out:
+            del self.hosts[bisect_left(self.hosts, host.place, key=attrgetter("place"))]
+        for host in put:
+            self.hosts.insert(bisect_left(self.hosts, host.place, key=attrgetter("place")), host)
+
+    def share(self, sizes: tuple[int, ...]) -> None:
+        self.sizes = sizes
+        self.users = {wide: users_of(len(self.hosts), sizes, wide) for wide in range(WIDEST + 1)}
+
+    def window(self, group: Group, gateway: str, wide: int) -> tuple[Host, ...]:
+        hosts = self.hosts
+        count, gateways = len(hosts), max(group.size, 1)
+        wanted = width(count, gateways, wide)
+        if wanted >= count:
+            if self.whole is None:
+                self.whole = tuple(hosts)
+            return self.whole
+        first = start(count, gateways, group.place(gateway))
+        last = first + wanted
+        return tuple(hosts[first:last]) if last <= count else (*hosts[first:], *hosts[: last - count])
+
+
+class Service:
+    """The rings of one service, and who shares which."""
+
+    __slots__ = ("groups", "reach", "rings", "spilling")
+
+    def __init__(self, name: str, roster: Roster) -> None:
+        self.groups = roster.groups(name)
+        self.rings: dict[str, Ring] = {}
+        self.reach: dict[str, tuple[tuple[Ring, Group], ...]] = {}  # by region of the gateway
+        self.spilling: frozenset[str] = frozenset()  # regions whose gateways have other regions' hosts too
+
+    def regroup(self, name: str, roster: Roster) -> None:
+        self.groups = roster.groups(name)
+
+    def shape(self, roster: Roster) -> bool:
+        """After any change of its rings: who shares them now. True where other regions than before share them."""
+        everyone = self.groups[""]
+        home: dict[str, str] = {}  # by zone the region whose gateways share it; "" all
+        for zone in self.rings:
+            region = roster.region_of_zone.get(zone, "")
+            home[zone] = region if self.groups[region].size else ""
+        rings = [self.rings[zone] for zone in sorted(self.rings)]
+        spilling = set()
+        self.reach = {}
+        for region in roster.regions:
+            own = [ring for ring in rings if home[ring.zone] in ("", region)]
+            if sum(len(ring.hosts) for ring in own) < LEAST_SERVING:
+                spilling.add(region)
+                own = rings
+            mine = self.groups[region] if self.groups[region].size else everyone
+            self.reach[region] = tuple((ring, everyone if home[ring.zone] == "" else mine) for ring in own)
+        for ring in rings:
+            owner = home[ring.zone]
+            others = [region for region in spilling if region != owner] if owner else []
+            ring.share(tuple(self.groups[region].size for region in (owner, *sorted(others))))
+        before, self.spilling = self.spilling, frozenset(spilling)
+        return before != self.spilling
