--- /dev/null
+++ b/benchmarks/relay_model.py
@@ -0,0 +1,655 @@
+"""Every order of events of a small fleet, played on the pure parts of relays: what a gateway holds is its subset.
+
+    .venv-dev/bin/python -m benchmarks.relay_model [--depth 12] [--states 100000] [--from START]
+    .venv-dev/bin/python -m benchmarks.relay_model --walks 2000 [--steps 80] [--seed 1]
+    .venv-dev/bin/python -m benchmarks.relay_model --from spill --replay 'change:0 hear:1 ask:0 ...'
+
+Discovery, two relays, two gateways, three hosts. What may happen next: a host changes or comes back in another zone
+or service, a relay hears the next change or a whole list, a gateway asks, asks in vain (its answer is lost), moves to
+the other relay, asks for more hosts, a relay begins anew or reads another roster. Breadth first, each state once, so
+that the first trace that is found is a shortest one. Judged by `plainly` below, which is written from
+docs/relay-design.md alone and knows no window that it has not just made.
+
+Exit code: 0 nothing was found; 1 an invariant was broken; 2 an option cannot be used.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import sys
+import time
+from collections import deque
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field, replace
+from typing import Any, Final
+
+from cloverkeel.core.config import stable_id
+from cloverkeel.relay.asks import Answer, Asker
+from cloverkeel.relay.feed import Feed, NotReady, View, Window
+from cloverkeel.relay.roster import Roster, parse_roster
+from cloverkeel.relay.subset import Ring, Service, Sizes
+
+Event = tuple[str, int]
+Shares = tuple[set[str], set[tuple[str, str]]]  # names of hosts; rings, by service and zone
+Entry = dict[str, Any]
+List = dict[str, Entry]
+FIRST_INDEX: Final = 1_000  # of both relays: versions of one mean nothing to the other
+NEXT_LIFE: Final = 100
+# Which events at the most in one trace of a search; a walk has no bound but its own.
+BUDGETS: Final = {"change": 4, "shift": 1, "lose": 2, "move": 2, "restart": 1, "list": 1, "roster": 1, "wide": 1}
+KINDS: Final = (*BUDGETS, "hear", "ask")
+ORDER: Final = ("DELETED", "DRAINING", "SERVING")
+
+
+@dataclass(slots=True, frozen=True)
+class Scene:
+    """A fleet to begin with. `rosters`: what relays read in turn. `shifts`: where a host may come back."""
+
+    rosters: tuple[dict[str, Any], ...]
+    hosts: tuple[Entry, ...]
+    askers: tuple[Asker, ...]
+    shifts: tuple[tuple[str, str], ...]  # service and zone
+    sizes: Sizes
+    parsed: tuple[Roster, ...] = ()
+    known: dict[tuple[object, ...], Shares] = field(default_factory=dict)  # what `shares` has worked out
+
+    def ready(self) -> Scene:
+        return replace(self, parsed=tuple(parse_roster(json.dumps(raw), "a scene") for raw in self.rosters))
+
+    def shares(self, roster: int, asker: Asker, listed: List) -> Shares:
+        """`plainly`, each question once."""
+        states = sorted((e["name"], e["service"], e["zone"], e["status"]) for e in listed.values())
+        key = (roster, asker, tuple(states))
+        found = self.known.get(key)
+        if found is None:
+            found = self.known[key] = plainly(self.rosters[roster], self.sizes, asker, listed)
+        return found
+
+
+def entry(name: str, service: str, zone: str) -> Entry:
+    return {"name": name, "address": "10.0.0.1:80", "zone": zone, "service": service, "status": "SERVING"}
+
+
+# The page, written again
+
+
+def plainly(roster: dict[str, Any], sizes: Sizes, asker: Asker, listed: List) -> Shares:
+    """Names of an asker's hosts in a list, and the (service, zone) that it shares. By what the page says."""
+    post = roster["gateways"].get(asker.gateway)
+    regions = roster["regions"]
+    if post is None:
+        return {name for name, each in listed.items() if each["status"] == "SERVING"}, set()
+
+    def region_of(zone: str) -> str:
+        return next((region for region, zones in regions.items() if zone in zones), "")
+
+    def before(service: str) -> dict[str, str]:
+        fronts = roster["gateways"].items()
+        return {n: region_of(p["zone"]) for n, p in fronts if "services" not in p or service in p["services"]}
+
+    mine, names, shared = region_of(post["zone"]), set[str](), set[tuple[str, str]]()
+    wanted = asker.services or post.get("services") or sorted({each["service"] for each in listed.values()})
+    for service in wanted:
+        fronts = before(service)
+        zones = {each["zone"] for each in listed.values() if each["service"] == service}
+        lent = {zone for zone in zones if region_of(zone) not in fronts.values()}  # nobody there is before it
+        own = lent | {zone for zone in zones if region_of(zone) == mine}
+
+        def serving(zone: str, service: str = service) -> list[str]:
+            its = (service, zone, "SERVING")
+            of = [name for name, each in listed.items() if (each["service"], each["zone"], each["status"]) == its]
+            return sorted(of, key=lambda name: (stable_id(f"{service}\0{zone}\0{name}", 8), name))
+
+        if sum(len(serving(zone)) for zone in own) < sizes.serving:
+            own = zones
+        for zone in own:
+            shared.add((service, zone))
+            hosts = serving(zone)
+            group = [n for n, region in fronts.items() if zone in lent or region == mine] or list(fronts)
+            hashes = [stable_id(f"{service}\0{n}", 8) for n in group]
+            place = sum(number < stable_id(f"{service}\0{asker.gateway}", 8) for number in hashes)
+            count, least = max(len(group), 1), sizes.least << asker.wide
+            for number in range(min(len(hosts), max(least, -(-least * len(hosts) // count)))):
+                first = int((place + 0.5) * len(hosts) / count)
+                names.add(hosts[(first + number) % len(hosts)])
+    return names, shared
+
+
+# The small fleet
+
+
+class Holder:
+    """A gateway's client: where it asks, and what it has."""
+
+    __slots__ = ("asker", "held", "index", "relay")
+
+    def __init__(self, asker: Asker, relay: int) -> None:
+        self.asker, self.relay = asker, relay
+        self.index: int | None = None
+        self.held: dict[str, bytes] = {}
+
+    def copy(self) -> Holder:
+        made = Holder(self.asker, self.relay)
+        made.index, made.held = self.index, dict(self.held)
+        return made
+
+    def apply(self, answer: Answer) -> None:
+        """As Watch.on_answer has it: changes up to a version below the one held are of another life."""
+        if not answer.whole and self.index is not None and answer.index < self.index:
+            self.index = None
+            return
+        if answer.whole:
+            self.held = {}
+        self.index = answer.index
+        for told in answer.entries:
+            raw = json.loads(told)
+            if raw["status"] == "DELETED":
+                self.held.pop(raw["name"], None)
+            else:
+                self.held[raw["name"]] = told
+
+
+class Relay:
+    """A feed, and what it has heard of discovery."""
+
+    __slots__ = ("feed", "heard", "life", "listed", "roster")
+
+    def __init__(self, scene: Scene, life: int = 0, roster: int = 0) -> None:
+        self.life, self.roster = life, roster
+        self.feed = Feed(scene.parsed[roster], FIRST_INDEX + life * NEXT_LIFE, scene.sizes)
+        self.heard = -1  # changes of discovery's; -1: no list yet
+        self.listed: List = {}
+
+    def copy(self) -> Relay:
+        made = Relay.__new__(Relay)
+        made.life, made.roster, made.heard, made.listed = self.life, self.roster, self.heard, dict(self.listed)
+        made.feed = copy_feed(self.feed)
+        return made
+
+
+class State:
+    """The small fleet at one moment."""
+
+    __slots__ = ("changes", "had", "holders", "listed", "relays", "scene", "used", "wrong")
+
+    def __init__(self, scene: Scene) -> None:
+        self.scene, self.wrong = scene, ""
+        self.listed: List = {each["name"]: each for each in scene.hosts}
+        self.changes: tuple[Entry, ...] = ()  # since the start, in order
+        self.had = frozenset(text_of(each) for each in scene.hosts)
+        self.relays = [Relay(scene), Relay(scene)]
+        self.holders = [Holder(asker, number % 2) for number, asker in enumerate(scene.askers)]
+        self.used = dict.fromkeys(BUDGETS, 0)
+
+    def copy(self) -> State:
+        made = State.__new__(State)
+        made.scene, made.wrong, made.changes, made.had = self.scene, self.wrong, self.changes, self.had
+        made.listed, made.used = dict(self.listed), dict(self.used)
+        made.relays = [relay.copy() for relay in self.relays]
+        made.holders = [holder.copy() for holder in self.holders]
+        return made
+
+    def key(self) -> tuple[object, ...]:
+        """What any later event can depend on. Numbers of changes and indexes count by their order alone."""
+        relays = tuple(
+            (relay.roster, relay.heard - len(self.changes), relay.life, key_of_feed(relay.feed))
+            for relay in self.relays
+        )
+        holders = tuple(
+            (
+                holder.relay, holder.asker.wide, tuple(sorted(holder.held.items())),
+                None if holder.index is None else holder.index - self.relays[holder.relay].feed.index,
+            )
+            for holder in self.holders
+        )  # fmt: skip
+        behind = len(self.changes) - min(relay.heard for relay in self.relays)
+        pending = tuple(text_of(each) for each in self.changes[-behind:]) if behind else ()
+        return relays, holders, pending, self.had, tuple(self.used.values()), key_of_list(self.listed)
+
+    # What may happen
+
+    def events(self) -> Iterator[Event]:
+        left = {what for what, most in BUDGETS.items() if self.used[what] < most}
+        for what, count in (("change", len(self.scene.hosts)), ("shift", len(self.scene.hosts))):
+            if what in left:
+                yield from ((what, number) for number in range(count))
+        for number, relay in enumerate(self.relays):
+            if -1 < relay.heard < len(self.changes):
+                yield "hear", number
+            if relay.heard == -1 or "list" in left:
+                yield "list", number
+            if "restart" in left and relay.heard >= 0:
+                yield "restart", number
+            if "roster" in left and len(self.scene.rosters) > 1:
+                yield "roster", number
+        for number in range(len(self.holders)):
+            yield "ask", number
+            yield from ((what, number) for what in ("lose", "move", "wide") if what in left)
+
+    def apply(self, event: Event) -> None:
+        """Let it happen; what cannot happen now does nothing."""
+        what, number = event
+        if what in BUDGETS and not (what == "list" and self.relays[number].heard == -1):
+            self.used[what] += 1
+        if what in ("change", "shift"):
+            self.change(number, what == "shift")
+        elif what == "hear":
+            self.hear(number)
+        elif what == "list":
+            relay = self.relays[number]
+            relay.feed.take(True, list(self.listed.values()))
+            relay.heard, relay.listed = len(self.changes), dict(self.listed)
+        elif what == "restart":
+            self.relays[number] = Relay(self.scene, self.relays[number].life + 1, self.relays[number].roster)
+        elif what == "roster":
+            relay = self.relays[number]
+            relay.roster = (relay.roster + 1) % len(self.scene.rosters)
+            relay.feed.set_roster(self.scene.parsed[relay.roster])
+        elif what == "move":
+            holder = self.holders[number]
+            holder.relay, holder.index = 1 - holder.relay, None
+        elif what == "wide":
+            holder = self.holders[number]
+            holder.asker = replace(holder.asker, wide=1 - holder.asker.wide)
+        else:
+            self.ask(number, what == "lose")
+
+    def change(self, number: int, shift: bool) -> None:
+        """A host goes on to drain, to be gone, to be back; or it comes back elsewhere."""
+        was = self.listed.get(self.scene.hosts[number]["name"])
+        if shift:
+            home = self.scene.hosts[number]
+            at = (home["service"], home["zone"]) if was is None else (was["service"], was["zone"])
+            others = [place for place in self.scene.shifts if place != at]
+            service, zone = others[number % len(others)]
+            now = entry(home["name"], service, zone)
+        elif was is None:
+            now = dict(self.scene.hosts[number])
+        else:
+            now = was | {"status": "DRAINING" if was["status"] == "SERVING" else "DELETED"}
+        self.changes = (*self.changes, now)
+        take_in(self.listed, now)
+        self.had |= {text_of(now)}
+
+    def hear(self, number: int) -> None:
+        relay = self.relays[number]
+        if -1 < relay.heard < len(self.changes):
+            now = self.changes[relay.heard]
+            relay.feed.take(False, [now])
+            take_in(relay.listed, now)
+            relay.heard += 1
+
+    def ask(self, number: int, is_lost: bool) -> None:
+        holder = self.holders[number]
+        relay = self.relays[holder.relay]
+        try:
+            answer = relay.feed.answer(holder.asker, holder.index)
+        except NotReady:
+            self.require(relay.heard == -1, "a relay that has a list gave no answer")
+            return
+        self.require(relay.heard >= 0, "a relay that has no list gave an answer")
+        if is_lost:
+            return
+        if answer is not None:
+            self.judge_answer(holder, relay, answer)
+            holder.apply(answer)
+        if holder.index is not None:
+            self.judge_held(holder, relay)
+
+    def quiet(self) -> State:
+        """All that happens when nothing more does: relays hear all, gateways ask until they have it all."""
+        made = self.copy()
+        for number, relay in enumerate(made.relays):
+            if relay.heard == -1:
+                made.apply(("list", number))
+            while relay.heard < len(made.changes):
+                made.hear(number)
+        for number, holder in enumerate(made.holders):
+            for _ in range(2):  # once may be for a list that it cannot use
+                made.ask(number, False)
+            made.require(holder.index is not None, "a gateway is left without a list")
+            drains = {name for name, each in made.listed.items() if each["status"] == "DRAINING"}
+            names, _ = made.scene.shares(made.relays[holder.relay].roster, holder.asker, made.listed)
+            made.require(holder.held.keys() - drains == names, "after quiet, a gateway has another subset")
+        return made
+
+    # What must hold
+
+    def require(self, holds: bool, wrong: str) -> None:
+        if not holds and not self.wrong:
+            self.wrong = wrong
+
+    def judge_answer(self, holder: Holder, relay: Relay, answer: Answer) -> None:
+        raws = [json.loads(each) for each in answer.entries]
+        ranks = [ORDER.index(raw["status"]) for raw in raws]
+        self.require(answer.whole or ranks == sorted(ranks), "what restricts was not said first")
+        names = [raw["name"] for raw in raws]
+        self.require(len(set(names)) == len(names), "a host was told twice in one answer")
+        self.require(answer.whole or bool(raws), "an answer with nothing in it")
+        self.require(holder.index is not None or answer.whole, "changes for one that holds nothing")
+        if answer.whole:
+            return
+        _, shared = self.scene.shares(relay.roster, holder.asker, relay.listed)
+        for raw in raws:
+            now = relay.listed.get(raw["name"])
+            if raw["status"] == "DELETED" and now is not None and now["status"] == "DRAINING":
+                is_shared = (now["service"], now["zone"]) in shared and raw["name"] in holder.held
+                self.require(not is_shared, "one that drains was told as gone")
+
+    def judge_held(self, holder: Holder, relay: Relay) -> None:
+        """After an answer, or where there is none to give."""
+        names, _ = self.scene.shares(relay.roster, holder.asker, relay.listed)
+        serving: set[str] = set()
+        for name, told in holder.held.items():
+            raw = json.loads(told)
+            users = raw.pop("users", None)
+            self.require(text_of(raw) in self.had, "a gateway holds what discovery never had")
+            now = relay.listed.get(name)
+            is_now = now is not None and text_of(now) == text_of(raw)
+            self.require(is_now, "a gateway holds what its relay no longer has")
+            if raw["status"] == "SERVING":
+                serving.add(name)
+                least = self.least_users(relay, holder.asker.wide, name) if users is not None else 0
+                self.require((users or least) >= least, "more gateways have a host than `users` says")
+        self.require(serving == names, "a gateway has another subset than its relay's list gives")
+
+    def least_users(self, relay: Relay, wide: int, name: str) -> int:
+        """How many gateways of the roster have this host, were all to ask so."""
+        askers = [Asker(gateway, (), wide) for gateway in self.scene.rosters[relay.roster]["gateways"]]
+        return sum(name in self.scene.shares(relay.roster, asker, relay.listed)[0] for asker in askers)
+
+
+def text_of(raw: Entry) -> str:
+    return json.dumps(raw, sort_keys=True)
+
+
+def key_of_list(listed: List) -> tuple[str, ...]:
+    return tuple(sorted(text_of(each) for each in listed.values()))
+
+
+def take_in(listed: List, now: Entry) -> None:
+    if now["status"] == "DELETED":
+        listed.pop(now["name"], None)
+    else:
+        listed[now["name"]] = now
+
+
+def copy_feed(feed: Feed) -> Feed:
+    """Hosts, windows and views are never changed, so both may have them."""
+    made = Feed(feed.roster, feed.index + 1, feed.sizes)
+    made.ready, made.number, made.hosts = feed.ready, feed.number, dict(feed.hosts)
+    made.changed, made.changed_floor = feed.changed.copy(), feed.changed_floor
+    made.views = {gateway: dict(views) for gateway, views in feed.views.items()}
+    made.log, made.log_floor = feed.log.copy(), feed.log_floor
+    made.wholes, made.all_entries, made.counts = feed.wholes.copy(), feed.all_entries, replace(feed.counts)
+    for name, service in feed.services.items():
+        copied = made.services[name] = Service.__new__(Service)
+        copied.sizes, copied.groups, copied.spilling = service.sizes, service.groups, service.spilling
+        copied.rings = {zone: copy_ring(ring) for zone, ring in service.rings.items()}
+        copied.reach = {
+            region: tuple((copied.rings[ring.zone], group) for ring, group in reach)
+            for region, reach in service.reach.items()
+        }
+    return made
+
+
+def copy_ring(ring: Ring) -> Ring:
+    made = Ring(ring.zone, ring.least)
+    made.hosts, made.known, made.changed, made.groups = list(ring.hosts), ring.known, ring.changed, ring.groups
+    return made
+
+
+def key_of_feed(feed: Feed) -> tuple[object, ...]:
+    """Its state, with numbers of changes replaced by their order, and indexes by their distance from the last."""
+    views = [view for each in feed.views.values() for view in each.values()]
+    numbers = {feed.number, feed.log_floor, feed.changed_floor, *feed.changed.values(), *feed.wholes.values()}
+    numbers.update(number for number, _ in feed.log)
+    numbers.update(view.number for view in views)
+    numbers.update(ring.changed for service in feed.services.values() for ring in service.rings.values())
+    numbers.update(w.changed for view in views for zones in view.windows.values() for w in zones.values())
+    rank = {number: place for place, number in enumerate(sorted(numbers))}
+
+    def of_window(window: Window) -> object:
+        return rank[window.changed], window.users, tuple((host.serves, host.rest) for host in window.hosts)
+
+    def of_view(view: View) -> object:
+        windows = tuple(
+            (name, zone, of_window(window))
+            for name, zones in sorted(view.windows.items()) for zone, window in sorted(zones.items())
+        )  # fmt: skip
+        draining = tuple((host.serves, host.rest) for _, host in sorted(view.draining.items()))
+        return rank[view.number], view.roster.digest, view.services, view.wide, windows, draining
+
+    rings = tuple(
+        (name, zone, rank[ring.changed], ring.known, tuple(host.rest for host in ring.hosts))
+        for name, service in sorted(feed.services.items()) for zone, ring in sorted(service.rings.items())
+    )  # fmt: skip
+    return (
+        feed.ready, rank[feed.number], rings,
+        tuple((host.serves, host.rest) for _, host in sorted(feed.hosts.items())),
+        tuple((name, rank[number]) for name, number in sorted(feed.changed.items())),
+        tuple((rank[number], host.serves, host.rest) for number, host in feed.log),
+        tuple((index - feed.index, rank[number]) for index, number in feed.wholes.items()),
+        tuple(
+            (gateway, tuple((index - feed.index, of_view(view)) for index, view in sorted(each.items())))
+            for gateway, each in sorted(feed.views.items())
+        ),
+    )  # fmt: skip
+
+
+# Where a search begins
+
+SMALL: Final = Sizes(least=1, serving=1)
+
+
+def ring() -> Scene:
+    """Three hosts on one ring that two gateways share, each with two of them."""
+    roster = {"regions": {"r": ["z"]}, "gateways": {"g0": {"zone": "z"}, "g1": {"zone": "z"}}}
+    fewer = {"regions": {"r": ["z"]}, "gateways": {"g0": {"zone": "z"}}}  # g1 has the whole list by it
+    hosts = tuple(entry(f"h{n}", "", "z") for n in range(3))
+    return Scene((roster, fewer), hosts, (Asker("g0"), Asker("g1")), (("", "z"), ("a", "z")), SMALL).ready()
+
+
+def spill() -> Scene:
+    """Two regions with a gateway each: where one has no host left, its gateway has the other's."""
+    gateways = {"g0": {"zone": "z0"}, "g1": {"zone": "z1"}}
+    roster = {"regions": {"r0": ["z0"], "r1": ["z1"]}, "gateways": gateways}
+    hosts = tuple(entry(f"h{n}", "", f"z{n % 2}") for n in range(3))
+    return Scene((roster,), hosts, (Asker("g0"), Asker("g1")), (("", "z0"), ("", "z1"), ("", "far")), SMALL).ready()
+
+
+def services() -> Scene:
+    """Two services, a gateway before one of them, one before both; hosts go over from one to the other."""
+    gateways = {"g0": {"zone": "z", "services": ["a"]}, "g1": {"zone": "z", "services": ["a", "b"]}}
+    roster = {"regions": {"r": ["z"]}, "gateways": gateways}
+    other = {"regions": {"r": ["z"]}, "gateways": gateways | {"g0": {"zone": "z", "services": ["b"]}}}
+    hosts = tuple(entry(f"h{n}", "a" if n < 2 else "b", "z") for n in range(3))
+    return Scene((roster, other), hosts, (Asker("g0"), Asker("g1")), (("a", "z"), ("b", "z")), SMALL).ready()
+
+
+STARTS: Final = {"ring": ring, "spill": spill, "services": services}
+
+
+def begun(scene: Scene) -> State:
+    """Both relays have the list, both gateways their subset."""
+    state = State(scene)
+    for event in (("list", 0), ("list", 1), *(("ask", n) for n in range(len(scene.askers)))):
+        state.apply(event)
+    return state
+
+
+@dataclass(slots=True)
+class Found:
+    """What a search came to. `trace` is empty where nothing was found."""
+
+    states: int = 0
+    depth: int = 0
+    wrong: str = ""
+    trace: tuple[Event, ...] = ()
+
+
+def wrong_of(state: State) -> str:
+    return state.wrong or state.quiet().wrong
+
+
+def search(scene: Scene, depth: int, most: int) -> Found:
+    """All states within so many events, each once, up to so many of them."""
+    first = begun(scene)
+    seen: dict[tuple[object, ...], tuple[tuple[object, ...] | None, Event]] = {first.key(): (None, ("", 0))}
+    waiting: deque[tuple[State, tuple[object, ...], int]] = deque([(first, first.key(), 0)])
+    found = Found(1)
+    while waiting:
+        state, key, at = waiting.popleft()
+        if at >= depth:
+            continue
+        for event in state.events():
+            made = state.copy()
+            made.apply(event)
+            its = made.key()
+            if its in seen:
+                continue
+            seen[its] = (key, event)
+            found.states, found.depth = found.states + 1, at + 1
+            found.wrong = wrong_of(made)
+            if found.wrong:
+                found.trace = trace_to(seen, its)
+                return found
+            if found.states >= most:
+                return found
+            waiting.append((made, its, at + 1))
+    return found
+
+
+def trace_to(
+    seen: dict[tuple[object, ...], tuple[tuple[object, ...] | None, Event]], key: tuple[object, ...]
+) -> tuple[Event, ...]:
+    events: list[Event] = []
+    at: tuple[object, ...] | None = key
+    while at is not None:
+        at, event = seen[at]
+        events.append(event)
+    return tuple(reversed(events[:-1]))
+
+
+def replay(scene: Scene, trace: Iterable[Event]) -> State:
+    """The state after these events, or after the first that breaks an invariant."""
+    state = begun(scene)
+    for event in trace:
+        state.apply(event)
+        if state.wrong:
+            break
+    return state
+
+
+def shorten(scene: Scene, trace: Sequence[Event]) -> tuple[Event, ...]:
+    """Leave out what is not needed for it to go wrong."""
+    kept = list(trace)
+    changed = True
+    while changed:
+        changed = False
+        for number in range(len(kept) - 1, -1, -1):
+            fewer = kept[:number] + kept[number + 1 :]
+            if wrong_of(replay(scene, fewer)):
+                kept, changed = fewer, True
+    return tuple(kept)
+
+
+WEIGHTS: Final = {
+    "ask": 8.0, "hear": 6.0, "change": 4.0, "shift": 1.0, "lose": 2.0, "move": 1.0, "list": 0.5, "restart": 0.4,
+    "roster": 0.3, "wide": 0.5,
+}  # fmt: skip
+
+
+def draw(dice: random.Random, state: State) -> Event:
+    events = list(state.events())
+    kinds = sorted({event[0] for event in events})
+    (kind,) = dice.choices(kinds, [WEIGHTS[kind] for kind in kinds])
+    return dice.choice([event for event in events if event[0] == kind])
+
+
+def walk(scene: Scene, walks: int, steps: int, seed: int) -> Found:
+    """Long traces drawn at random; what goes wrong is cut down."""
+    found = Found()
+    for number in range(walks):
+        dice, state, trace = random.Random(f"{seed}/{number}"), begun(scene), list[Event]()
+        state.used = dict.fromkeys(BUDGETS, -steps)  # no bound but the walk's own
+        for step in range(steps):
+            event = draw(dice, state)
+            trace.append(event)
+            state.apply(event)
+            found.states += 1
+            if state.wrong or (step == steps - 1 and wrong_of(state)):
+                found.trace = shorten(scene, trace)
+                found.wrong = wrong_of(replay(scene, found.trace))
+                return found
+    return found
+
+
+def parse(text: str) -> tuple[Event, ...]:
+    events = []
+    for word in text.split():
+        what, _, number = word.partition(":")
+        if what not in KINDS or not (number or "0").isdigit():
+            raise ValueError(f"--replay: expected words such as ask:0 or change:2, found {word!r}")
+        events.append((what, int(number or 0)))
+    return tuple(events)
+
+
+def show(scene: Scene, trace: Sequence[Event]) -> None:
+    """Print a trace, a line an event: what discovery has, what each relay has, what each gateway holds."""
+    state = begun(scene)
+    for event in (("", 0), *trace):
+        if event[0]:
+            state.apply(event)
+        relays = "  ".join(brief(relay.listed.values()) if relay.heard >= 0 else "-" for relay in state.relays)
+        holders = "  ".join(
+            f"{holder.asker.gateway}@{holder.relay}/{holder.index}: {brief(map(json.loads, holder.held.values()))}"
+            for holder in state.holders
+        )
+        print(f"{event[0] or 'begun':>8}:{event[1]}  [{brief(state.listed.values())}]  relays {relays}  {holders}")
+    print("replay with: --replay '" + " ".join(f"{what}:{number}" for what, number in trace) + "'")
+
+
+def brief(entries: Iterable[Entry]) -> str:
+    marks = {"SERVING": "", "DRAINING": "-"}
+    words = sorted(f"{each['name']}{marks[each['status']]}" for each in entries)
+    return ",".join(words) or "nobody"
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--depth", type=int, default=12)
+    parser.add_argument("--states", type=int, default=100_000)
+    parser.add_argument("--from", dest="start", choices=sorted(STARTS), default="ring")
+    parser.add_argument("--walks", type=int, default=0)
+    parser.add_argument("--steps", type=int, default=80)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--replay", default="", metavar="EVENTS")
+    options = parser.parse_args()
+    scene, began_s = STARTS[options.start](), time.monotonic()
+    try:
+        given = parse(options.replay)
+    except ValueError as error:
+        print(f"relay_model: {error}", file=sys.stderr)
+        return 2
+    if given:
+        show(scene, given)
+        wrong = wrong_of(replay(scene, given))
+        print(wrong or "nothing is wrong")
+        return 1 if wrong else 0
+    found = (
+        walk(scene, options.walks, options.steps, options.seed)
+        if options.walks
+        else search(scene, options.depth, options.states)
+    )
+    took_s = time.monotonic() - began_s
+    print(f"{found.states} states, depth {found.depth}, {took_s:.1f} s: {found.wrong or 'nothing'}")
+    if found.wrong:
+        show(scene, found.trace)
+    return 1 if found.wrong else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/cloverkeel/relay/feed.py
+++ b/cloverkeel/relay/feed.py
@@ -15,16 +15,17 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from collections import Counter, OrderedDict, deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 from cloverkeel.core.config import parse_address
 from cloverkeel.relay.asks import WIDEST, Answer, Asker
 from cloverkeel.relay.roster import Post, Roster
-from cloverkeel.relay.subset import Host, Ring, Service
+from cloverkeel.relay.subset import SIZES, Host, Ring, Service, Sizes
 
 MOST_HOSTS: Final = 131_072  # 3.4 times the plan's
 MOST_VIEWS: Final = 2  # of a gateway: the answer that it had, and the one that may have been lost
@@ -97,9 +98,9 @@
 class Feed:
     """Feed it discovery's lists; ask it what a gateway is to be told."""
 
-    def __init__(self, roster: Roster, first_index: int) -> None:
+    def __init__(self, roster: Roster, first_index: int, sizes: Sizes = SIZES) -> None:
         """`first_index`: of its first answer; greater than any of an earlier life at the same address (a clock)."""
-        self.roster = roster
+        self.roster, self.sizes = roster, sizes
         self.index = first_index - 1
         self.ready = False
         self.hosts: dict[str, Host] = {}
@@ -163,14 +164,14 @@
         for name, host in changes:
             held = self.hosts.pop(name, None)
             if held is not None:
-                its = touched.setdefault(held.service, Touched())
+                its = touched.get(held.service) or touched.setdefault(held.service, Touched())
                 its.known[held.zone] -= 1
                 its.zones.add(held.zone)
                 if held.serves:
                     its.out.setdefault(held.zone, []).append(held)
             if host is not None:
                 self.hosts[name] = host
-                its = touched.setdefault(host.service, Touched())
+                its = touched.get(host.service) or touched.setdefault(host.service, Touched())
                 its.known[host.zone] += 1
                 its.zones.add(host.zone)
                 if host.serves:
@@ -195,12 +196,12 @@
         """Change a service's rings; the regions whose gateways it may matter to."""
         service = self.services.get(name)
         if service is None:
-            service = self.services[name] = Service(name, self.roster)
+            service = self.services[name] = Service(name, self.roster, self.sizes)
         before = {region: {ring.zone for ring, _ in reach} for region, reach in service.reach.items()}
         for zone in its.zones:
             ring = service.rings.get(zone)
             if ring is None:
-                ring = service.rings[zone] = Ring(zone)
+                ring = service.rings[zone] = Ring(zone, self.sizes.least)
             ring.change(its.out.get(zone, ()), its.put.get(zone, ()))
             ring.known += its.known[zone]
             ring.changed = self.number
@@ -279,7 +280,7 @@
         if is_same and view.number == self.number:
             return None
         if is_same and view.number >= self.changed_floor:
-            look = [name for name in self.changed_since(view.number) if services is None or name in services]
+            look = self.changed_since(view.number, services)
         else:
             wanted = self.services.keys() if services is None else services
             look = [*({host.service for host in view.draining.values()} | view.windows.keys() | wanted)]
@@ -327,11 +328,12 @@
         self.views[gateway] = kept | {self.index: view}  # one that it may hold, and this: MOST_VIEWS
         return Answer(self.index, whole, entries)
 
-    def changed_since(self, number: int) -> Iterator[str]:
-        for name in reversed(self.changed):
-            if self.changed[name] <= number:
-                return
-            yield name
+    def changed_since(self, number: int, services: frozenset[str] | None) -> list[str]:
+        """Of these services; costs what is fewer, they or the changes."""
+        if services is not None and len(services) < len(self.changed):
+            return [name for name in services if self.changed.get(name, 0) > number]
+        latest = itertools.takewhile(lambda name: self.changed[name] > number, reversed(self.changed))
+        return [name for name in latest if services is None or name in services]
 
     def windows_of(
         self, name: str, gateway: str, post: Post, wide: int, before: dict[str, Window]
@@ -344,7 +346,7 @@
             if had is not None and had.changed == ring.changed:
                 made[ring.zone] = had
             else:
-                made[ring.zone] = Window(ring.changed, ring.users[wide], ring.window(group, gateway, wide))
+                made[ring.zone] = Window(ring.changed, ring.users(wide), ring.window(group, gateway, wide))
         return made
 
     def answer_all(self, since: int | None) -> Answer | None:
--- a/cloverkeel/relay/subset.py
+++ b/cloverkeel/relay/subset.py
@@ -5,10 +5,10 @@
 
 Invariants, for each ring and each group of N gateways on it:
 - how many gateways have a host differs by at most one between any two hosts, and is never none; where all ask with
-  the same `wide`, it is at most users_of(H, (N,), wide);
+  the same `wide`, it is at most users_of(H, (N,), least);
 - one host more or less brings at most 2 hosts into a window and takes at most 2 out of it;
 - the ring is the same for the same hosts, in whatever order they came.
-A service's shape says who shares which ring. Where fewer than LEAST_SERVING hosts of a region's own rings serve, its
+A service's shape says who shares which ring. Where fewer than Sizes.serving hosts of a region's own rings serve, its
 gateways share those of the other regions too. A zone that no region has, or whose region has no gateway before the
 service, is shared by all gateways before it: no host is left without one.
 
@@ -19,19 +19,28 @@
 
 from bisect import bisect_left
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from operator import attrgetter
 from typing import Final
 
 from cloverkeel.core.config import stable_id
-from cloverkeel.relay.asks import WIDEST
 from cloverkeel.relay.roster import Group, Roster
 
-LEAST: Final = 8  # hosts in a window, and gateways at a host, where there are so many: two of a zone may fail at once
-LEAST_SERVING: Final = 3  # in a gateway's region, before it has those of the others too
 FEW: Final = 16  # changes of one ring at once that are made one by one; with more it is sorted anew
 DIGITS: Final = 4  # binary ones, of what is told as `users`
 
 
+@dataclass(slots=True, frozen=True)
+class Sizes:
+    """How large subsets are. All relays of a fleet have these; a small model has smaller ones."""
+
+    least: int = 8  # hosts in a window, and gateways at a host, where there are so many: a few may fail at once
+    serving: int = 3  # hosts that serve in a gateway's region, before it has those of the others too
+
+
+SIZES: Final = Sizes()
+
+
 class Host:
     """One host as discovery has it. Never changed: who compares two by identity sees whether anything is other."""
 
@@ -58,9 +67,8 @@
         return b'{"status":"DELETED",%s}' % self.rest
 
 
-def width(hosts: int, gateways: int, wide: int = 0) -> int:
-    """Hosts in a window, of `hosts` on the ring that `gateways` (1 or more) share."""
-    least = LEAST << wide
+def width(hosts: int, gateways: int, least: int) -> int:
+    """Hosts in a window, of `hosts` on the ring that `gateways` (1 or more) share; `least`: doubled by `wide`."""
     return min(hosts, max(least, -(-least * hosts // gateways)))
 
 
@@ -69,7 +77,7 @@
     return (2 * place + 1) * hosts // (2 * gateways) % hosts
 
 
-def users_of(hosts: int, sizes: Iterable[int], wide: int = 0) -> int:
+def users_of(hosts: int, groups: Iterable[int], least: int) -> int:
     """Gateways that have a host at the most, where groups of these sizes share its ring and all ask so wide.
 
     One more than the windows make, for one that the roster lacks, and rounded up to four binary digits (by an
@@ -77,11 +85,10 @@
     the same for all of them.
     """
     most = 0
-    for size in sizes:
-        if width(hosts, max(size, 1), wide) >= hosts:
+    for size in groups:
+        if width(hosts, max(size, 1), least) >= hosts:
             most += size
         else:
-            least = LEAST << wide
             most += min(size, least + 2 if size <= hosts else -(-least * size // hosts) + 1)
     step = 1 << max(0, most.bit_length() - DIGITS)
     return max(1, most + -most % step)
@@ -90,15 +97,15 @@
 class Ring:
     """The hosts of a service in a zone that serve, in order. `known` counts those that don't serve too."""
 
-    __slots__ = ("changed", "hosts", "known", "sizes", "users", "whole", "zone")
+    __slots__ = ("changed", "groups", "hosts", "known", "least", "users_by_wide", "whole", "zone")
 
-    def __init__(self, zone: str) -> None:
-        self.zone = zone
+    def __init__(self, zone: str, least: int) -> None:
+        self.zone, self.least = zone, least
         self.hosts: list[Host] = []
         self.known = 0
         self.changed = 0  # the feed's number of the last change that windows here may have to do with
-        self.sizes: tuple[int, ...] = ()  # of the groups that share it
-        self.users: dict[int, int] = {}  # by wide, WIDEST + 1 of them
+        self.groups: tuple[int, ...] = ()  # the sizes of those that share it
+        self.users_by_wide: dict[int, int] = {}  # made when they are asked for
         self.whole: tuple[Host, ...] | None = None  # shared by all whose window is the ring
 
     def change(self, out: Sequence[Host], put: Sequence[Host]) -> None:
@@ -115,14 +122,20 @@
         for host in put:
             self.hosts.insert(bisect_left(self.hosts, host.place, key=attrgetter("place")), host)
 
-    def share(self, sizes: tuple[int, ...]) -> None:
-        self.sizes = sizes
-        self.users = {wide: users_of(len(self.hosts), sizes, wide) for wide in range(WIDEST + 1)}
+    def share(self, groups: tuple[int, ...]) -> None:
+        self.groups = groups
+        self.users_by_wide.clear()
+
+    def users(self, wide: int) -> int:
+        users = self.users_by_wide.get(wide)
+        if users is None:
+            users = self.users_by_wide[wide] = users_of(len(self.hosts), self.groups, self.least << wide)
+        return users
 
     def window(self, group: Group, gateway: str, wide: int) -> tuple[Host, ...]:
         hosts = self.hosts
         count, gateways = len(hosts), max(group.size, 1)
-        wanted = width(count, gateways, wide)
+        wanted = width(count, gateways, self.least << wide)
         if wanted >= count:
             if self.whole is None:
                 self.whole = tuple(hosts)
@@ -135,9 +148,10 @@
 class Service:
     """The rings of one service, and who shares which."""
 
-    __slots__ = ("groups", "reach", "rings", "spilling")
+    __slots__ = ("groups", "reach", "rings", "sizes", "spilling")
 
-    def __init__(self, name: str, roster: Roster) -> None:
+    def __init__(self, name: str, roster: Roster, sizes: Sizes) -> None:
+        self.sizes = sizes
         self.groups = roster.groups(name)
         self.rings: dict[str, Ring] = {}
         self.reach: dict[str, tuple[tuple[Ring, Group], ...]] = {}  # by region of the gateway
@@ -158,7 +172,7 @@
         self.reach = {}
         for region in roster.regions:
             own = [ring for ring in rings if home[ring.zone] in ("", region)]
-            if sum(len(ring.hosts) for ring in own) < LEAST_SERVING:
+            if sum(len(ring.hosts) for ring in own) < self.sizes.serving:
                 spilling.add(region)
                 own = rings
             mine = self.groups[region] if self.groups[region].size else everyone
