--- a/benchmarks/relay_model.py
+++ b/benchmarks/relay_model.py
@@ -1,6 +1,6 @@
 """Every order of events of a small fleet, played on the pure parts of relays: what a gateway holds is its subset.
 
-    .venv-dev/bin/python -m benchmarks.relay_model [--depth 12] [--states 100000] [--from START]
+    .venv-dev/bin/python -m benchmarks.relay_model [--depth 12] [--states 100000] [--from START] [--only change,ask]
     .venv-dev/bin/python -m benchmarks.relay_model --walks 2000 [--steps 80] [--seed 1]
     .venv-dev/bin/python -m benchmarks.relay_model --from spill --replay 'change:0 hear:1 ask:0 ...'
 
@@ -494,8 +494,8 @@
     return state.wrong or state.quiet().wrong
 
 
-def search(scene: Scene, depth: int, most: int) -> Found:
-    """All states within so many events, each once, up to so many of them."""
+def search(scene: Scene, depth: int, most: int, only: Sequence[str] = KINDS) -> Found:
+    """All states within so many events of these kinds, each once, up to so many of them."""
     first = begun(scene)
     seen: dict[tuple[object, ...], tuple[tuple[object, ...] | None, Event]] = {first.key(): (None, ("", 0))}
     waiting: deque[tuple[State, tuple[object, ...], int]] = deque([(first, first.key(), 0)])
@@ -505,6 +505,8 @@
         if at >= depth:
             continue
         for event in state.events():
+            if event[0] not in only:
+                continue
             made = state.copy()
             made.apply(event)
             its = made.key()
@@ -623,6 +625,7 @@
     parser.add_argument("--depth", type=int, default=12)
     parser.add_argument("--states", type=int, default=100_000)
     parser.add_argument("--from", dest="start", choices=sorted(STARTS), default="ring")
+    parser.add_argument("--only", default=",".join(KINDS), metavar="KINDS")
     parser.add_argument("--walks", type=int, default=0)
     parser.add_argument("--steps", type=int, default=80)
     parser.add_argument("--seed", type=int, default=1)
@@ -630,7 +633,9 @@
     options = parser.parse_args()
     scene, began_s = STARTS[options.start](), time.monotonic()
     try:
-        given = parse(options.replay)
+        given, only = parse(options.replay), options.only.split(",")
+        if not set(only) <= set(KINDS):
+            raise ValueError(f"--only: expected words of {','.join(KINDS)}, found {options.only!r}")
     except ValueError as error:
         print(f"relay_model: {error}", file=sys.stderr)
         return 2
@@ -642,7 +647,7 @@
     found = (
         walk(scene, options.walks, options.steps, options.seed)
         if options.walks
-        else search(scene, options.depth, options.states)
+        else search(scene, options.depth, options.states, only)
     )
     took_s = time.monotonic() - began_s
     print(f"{found.states} states, depth {found.depth}, {took_s:.1f} s: {found.wrong or 'nothing'}")
--- /dev/null
+++ b/tests/test_relay_subset.py
@@ -0,0 +1,260 @@
+"""Who has which hosts: balance, movement, zones and regions kept; and the file that says which gateways there are."""
+
+from __future__ import annotations
+
+import json
+import math
+from array import array
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import replace
+from itertools import pairwise
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from benchmarks.capacity.plan import fleet
+from benchmarks.relay_model import entry, plainly
+from cloverkeel.relay.asks import WIDEST, Asker
+from cloverkeel.relay.feed import Feed
+from cloverkeel.relay.roster import Group, Post, Roster, RosterError, hash_of, parse_roster
+from cloverkeel.relay.subset import SIZES, Host, Ring, width
+
+LEAST = SIZES.least
+COUNTS = st.integers(1, 150)
+
+
+def host(number: int) -> Host:
+    return Host(f"h{number}", "s", "z", True, b"")
+
+
+def ring(hosts: Iterable[Host], *sizes: int) -> Ring:
+    made = Ring("z", LEAST)
+    made.change((), list(hosts))
+    made.share(sizes)
+    return made
+
+
+def group(names: Sequence[str]) -> Group:
+    return Group("s", array("Q", sorted(hash_of("s", name) for name in names)))
+
+
+def windows(hosts: Iterable[Host], names: Sequence[str], wide: int = 0) -> dict[str, set[str]]:
+    made, before = ring(hosts, len(names)), group(names)
+    return {name: {each.name for each in made.window(before, name, wide)} for name in names}
+
+
+def made_fleet(hosts: int, gateways: int, service: str = "s", **more: Any) -> dict[str, Any]:
+    """A roster and the entries of a service, evenly over two zones of one region and one zone of another."""
+    zones = ["r0-a", "r0-b", "r1-a"]
+    return {
+        "roster": {
+            "regions": {"r0": zones[:2], "r1": zones[2:]},
+            "gateways": {f"g{n}": {"zone": zones[n % 3]} for n in range(gateways)},
+        },
+        "entries": [entry(f"h{n}", service, zones[n % 3]) for n in range(hosts)],
+    } | more
+
+
+def fed(roster: dict[str, Any], entries: list[dict[str, Any]]) -> Feed:
+    feed = Feed(parse_roster(json.dumps(roster), "roster.json"), 1)
+    feed.take(True, entries)
+    return feed
+
+
+def told(feed: Feed, asker: Asker) -> dict[str, dict[str, Any]]:
+    answer = feed.answer(asker, None)
+    assert answer is not None and answer.whole
+    entries: list[dict[str, Any]] = json.loads(answer.body(0))["endpoints"]
+    return {each["name"]: each for each in entries}
+
+
+# Balance and movement
+
+
+@given(COUNTS, COUNTS, st.integers(0, WIDEST))
+def test_each_host_has_as_many_gateways_as_any_other(hosts: int, gateways: int, wide: int) -> None:
+    names = [f"g{n}" for n in range(gateways)]
+    made = windows(map(host, range(hosts)), names, wide)
+    have = Counter(name for each in made.values() for name in each)
+    each_has = width(hosts, gateways, LEAST << wide)
+    assert {len(each) for each in made.values()} == {each_has} and each_has >= min(hosts, LEAST << wide)
+    fan = [have[f"h{n}"] for n in range(hosts)]
+    mean = gateways * each_has / hosts
+    assert min(fan) >= 1 and max(fan) - min(fan) <= 1
+    if gateways >= LEAST:
+        assert mean >= LEAST and max(fan) <= 1.3 * mean and min(fan) >= mean / 1.3
+    assert max(fan) <= ring(map(host, range(hosts)), gateways).users(wide) <= 1.25 * math.ceil(mean) + 2
+
+
+@given(st.integers(1, 150), st.integers(9, 150), st.integers(0, 10_000))
+def test_one_host_more_changes_two_of_a_window_at_the_most(hosts: int, gateways: int, other: int) -> None:
+    names = [f"g{n}" for n in range(gateways)]
+    fewer, more = (windows(map(host, numbers), names) for numbers in (range(hosts), (*range(hosts), 10_000 + other)))
+    for name in names:
+        assert len(more[name] - fewer[name]) <= 2 and len(fewer[name] - more[name]) <= 2
+
+
+@given(COUNTS, COUNTS, st.integers(0, 10_000))
+def test_one_gateway_more_moves_its_share_of_a_window_at_the_most(hosts: int, gateways: int, other: int) -> None:
+    names = [f"g{n}" for n in range(gateways)]
+    fewer, more = (windows(map(host, range(hosts)), each) for each in (names, [*names, f"other{other}"]))
+    shift = math.ceil(hosts / (gateways + 1))
+    narrower = math.ceil(LEAST * hosts / (gateways * (gateways + 1)))
+    for name in names:
+        assert len(more[name] - fewer[name]) <= shift
+        assert len(fewer[name] - more[name]) <= shift + narrower
+
+
+def test_a_zone_that_goes_leaves_the_windows_in_the_others_as_they_are() -> None:
+    made = made_fleet(300, 40)
+    feed, asker = fed(made["roster"], made["entries"]), Asker("g0")
+    before = told(feed, asker)
+    feed.take(False, [each | {"status": "DELETED"} for each in made["entries"] if each["zone"] == "r0-a"])
+    after = told(feed, asker)
+    assert {each["zone"] for each in before.values()} == {"r0-a", "r0-b"}
+    assert after == {name: each for name, each in before.items() if each["zone"] == "r0-b"} and len(after) >= LEAST
+
+
+def test_what_fails_for_a_gateway_is_widened_by_doubling_and_only_grows() -> None:
+    feed = fed(**made_fleet(300, 40))
+    subsets = [told(feed, Asker("g0", (), wide)) for wide in range(WIDEST + 2)]
+    assert [len(each) for each in subsets] == [2 * width(100, 27, LEAST << wide) for wide in (0, 1, 2, 3, 3)]
+    assert all(less.keys() <= more.keys() for less, more in pairwise(subsets))
+
+
+def test_fewer_than_three_that_serve_in_a_region_bring_in_the_other() -> None:
+    made = made_fleet(9, 9)
+    feed = fed(made["roster"], made["entries"])
+    assert {each["zone"] for each in told(feed, Asker("g0")).values()} == {"r0-a", "r0-b"}
+    its = [each for each in made["entries"] if each["zone"] != "r1-a"]
+    feed.take(False, [each | {"status": "DRAINING"} for each in its[:3]])
+    assert {each["zone"] for each in told(feed, Asker("g0")).values()} == {"r0-a", "r0-b"}
+    feed.take(False, [its[3] | {"status": "DRAINING"}])
+    spilt = told(feed, Asker("g0"))
+    assert Counter(each["zone"] for each in spilt.values()) == {"r0-a": 1, "r0-b": 1, "r1-a": 3}
+    assert {each["users"] for each in spilt.values() if each["zone"] == "r1-a"} == {9}  # both regions' gateways
+    assert {each["zone"] for each in told(feed, Asker("g2")).values()} == {"r1-a"}
+
+
+def test_no_host_is_left_without_a_gateway() -> None:
+    """Where nobody of its region is before its service, or its zone is in no region, all before it have it."""
+    made = made_fleet(90, 0)
+    made["roster"]["gateways"] = {f"g{n}": {"zone": "r0-a", "services": ["s"]} for n in range(30)}
+    feed = fed(made["roster"], [*made["entries"], *(entry(f"far{n}", "s", "no-zone") for n in range(40))])
+    have = Counter(name for n in range(30) for name in told(feed, Asker(f"g{n}")))
+    assert len(have) == 130 and min(have.values()) >= LEAST
+
+
+def test_a_service_of_one_host_and_one_of_nine_thousand_and_such_as_name_none() -> None:
+    entries = [entry("alone", "one", "r0-a"), *(entry(f"h{n}", "many", "r0-a") for n in range(9_000))]
+    bare = [entry(f"bare{n}", "", "r0-a") for n in range(3)]
+    for each in bare:
+        del each["service"]
+    feed = fed(made_fleet(0, 60)["roster"], [*entries, *bare])
+    subset = told(feed, Asker("g0"))
+    assert Counter(each.get("service") for each in subset.values()) == {"one": 1, "many": 9_000 * 8 // 40, None: 3}
+    assert told(feed, Asker("g0", ("one",))).keys() == {"alone"}
+    assert told(feed, Asker("g0", ("", "one", "none"))).keys() == {"alone", "bare0", "bare1", "bare2"}
+
+
+@given(st.integers(0, 60), st.integers(0, 30), st.integers(0, WIDEST), st.randoms(use_true_random=False))
+def test_two_relays_give_the_same_subset_whatever_they_heard_on_the_way(
+    hosts: int, gateways: int, wide: int, dice: Any
+) -> None:
+    made = made_fleet(hosts, gateways + 3)
+    listed = {each["name"]: each for each in made["entries"]}
+    for name in dice.sample(sorted(listed), hosts // 4):
+        listed[name] = listed[name] | {"status": "DRAINING"}
+    first, second = fed(made["roster"], list(listed.values())), fed(made["roster"], [])
+    deltas = [*listed.values(), *(entry(f"gone{n}", "s", "r0-a") for n in range(5)), *made["entries"][:7]]
+    dice.shuffle(deltas)
+    for each in deltas:
+        second.take(False, [each])
+    second.take(False, [entry(f"gone{n}", "s", "r0-a") | {"status": "DELETED"} for n in range(5)])
+    second.take(False, dice.sample(list(listed.values()), len(listed)))
+    for number in (0, 1, 2, gateways, gateways + 2):
+        asker = Asker(f"g{number}", (), wide)
+        assert told(first, asker) == told(second, asker)
+        assert told(first, asker).keys() == plainly(made["roster"], SIZES, asker, listed)[0]
+
+
+def test_the_plans_shape_at_a_tenth_gives_all_hosts_gateways_and_all_gateways_hosts() -> None:
+    small = fleet(460, 3_800)
+    feed = fed(small.roster(), [each.entry() for each in small.hosts])
+    subsets = {each.name: told(feed, Asker(each.name)) for each in small.gateways}
+    have = Counter(name for subset in subsets.values() for name in subset)
+    assert have.keys() == {each.name for each in small.hosts} and min(have.values()) >= 3
+    most = {name: each["users"] for subset in subsets.values() for name, each in subset.items()}
+    assert all(have[name] <= most[name] for name in have)
+    before = {each.name: set(each.services) for each in small.gateways}
+    assert all({each["service"] for each in subset.values()} <= before[name] for name, subset in subsets.items())
+
+
+# The roster
+
+
+GOOD = made_fleet(0, 4)["roster"]
+
+
+def of_g(post: str) -> str:
+    return '{"regions": {"r": ["z"]}, "gateways": {"g": %s}}' % post  # noqa: UP031 - braces
+
+
+
+
+def test_a_roster_says_where_each_gateway_is_and_before_what() -> None:
+    raw = GOOD | {"gateways": GOOD["gateways"] | {"g9": {"zone": "r1-a", "services": ["a", "b"]}}}
+    made = parse_roster(json.dumps(raw), "f")
+    assert made.gateways["g9"] == Post("r1-a", "r1", frozenset("ab")) and made.gateways["g0"].services is None
+    assert {region: each.size for region, each in made.groups("a").items()} == {"": 5, "r0": 3, "r1": 2}
+    assert {region: each.size for region, each in made.groups("c").items()} == {"": 4, "r0": 3, "r1": 1}
+    everyone = made.groups("a")[""]
+    assert sorted(everyone.place(name) for name in made.gateways) == list(range(5))
+    assert everyone.place("nobody") == sum(number < hash_of("a", "nobody") for number in everyone.hashes)
+    shuffled = json.dumps(dict(reversed(raw.items())), indent=1)
+    assert parse_roster(shuffled, "f").digest == made.digest != parse_roster(json.dumps(GOOD), "f").digest
+
+
+@pytest.mark.parametrize(("text", "said"), [
+    ("{", "f: expected JSON"),
+    ("[" * 100_000, "f: expected JSON"),
+    ("[]", 'f: the file: expected an object with "regions" and "gateways", found'),
+    ('{"regions": {"r": ["z"]}, "gateways": {}}', "f: gateways: expected an object of 1 to 16384"),
+    ('{"regions": {"r": ["z"]}, "gateways": {"g": {"zone": "z"}}, "more": 1}', "f: more: expected no key but"),
+    ('{"regions": {"r": []}, "gateways": {"g": {"zone": "z"}}}', "f: regions.r: expected a list of zones"),
+    ('{"regions": {"r": ["z"], "q": ["z"]}, "gateways": {"g": {}}}', "f: regions.q: expected each zone to be in one"),
+    (of_g('{"zone": "y"}'), "f: gateways.g.zone: expected a zone of one of"),
+    (of_g('{"zone": "z", "service": []}'), "f: gateways.g.service: expected"),
+    (of_g('{"zone": "z", "services": []}'), "f: gateways.g.services: expected"),
+    (of_g('{"zone": "z", "services": ["a", "a"]}'), "f: gateways.g.services: expected each service once"),
+    ('{"regions": {"r": ["z"]}, "gateways": {"g": {"zone": "z"}, "g": {"zone": "z"}}}', "f: g: expected a key to be"),
+    ('{"regions": {"r": ["z"]}, "gateways": {"": {"zone": "z"}}}', "f: gateways: expected a name of 1 to 255"),
+])  # fmt: skip
+def test_a_roster_that_cannot_be_used_is_refused_by_file_and_key(text: str, said: str) -> None:
+    with pytest.raises(RosterError, match=r"^f: ") as raised:
+        parse_roster(text, "f")
+    assert said in str(raised.value)
+
+
+def test_another_roster_counts_from_the_next_answer_on() -> None:
+    made = made_fleet(30, 6)
+    feed, asker = fed(made["roster"], made["entries"]), Asker("g0")
+    first = feed.answer(asker, None)
+    assert first is not None and feed.answer(asker, first.index) is None
+    gateways = {"g0": {"zone": "r1-a"}, "g1": {"zone": "r0-a"}}
+    feed.set_roster(parse_roster(json.dumps(made["roster"] | {"gateways": gateways}), "f"))
+    moved = feed.answer(asker, first.index)
+    assert moved is not None and not moved.whole
+    assert {each["zone"]: each["status"] for each in map(json.loads, moved.entries)} == {
+        "r0-a": "DELETED", "r0-b": "DELETED", "r1-a": "SERVING",
+    }  # fmt: skip
+    assert told(feed, replace(asker, gateway="g5")).keys() == {each["name"] for each in made["entries"]}
+
+
+def test_a_roster_is_bounded() -> None:
+    with pytest.raises(RosterError, match="expected at most 1024 zones, found '1025'"):
+        parse_roster(json.dumps({"regions": {"r": [f"z{n}" for n in range(1_025)]}, "gateways": {"g": {}}}), "f")
+    assert isinstance(parse_roster(json.dumps(GOOD).encode(), "f"), Roster)
