--- a/tests/test_relay_feed.py
+++ b/tests/test_relay_feed.py
@@ -12,7 +12,7 @@
 from benchmarks.relay_model import STARTS, Entry, Scene, draw, entry, parse, replay, search, shorten, walk, wrong_of
 from benchmarks.relay_model import State as Fleet
 from cloverkeel.relay.asks import Answer, Asker
-from cloverkeel.relay.feed import EVERYTHING, LOG_KEPT, MOST_HOSTS, Feed, NotReady
+from cloverkeel.relay.feed import EVERYTHING, LOG_KEPT, MOST_CHANGED, MOST_HOSTS, Feed, NotReady
 from cloverkeel.relay.roster import parse_roster
 from cloverkeel.relay.subset import Sizes
 
@@ -252,6 +252,31 @@
     assert spilt == {("s", "r1"), (None, "r1"), ("s", "r0"), (None, "r0"), EVERYTHING}
 
 
+def test_the_last_host_of_a_zone_that_goes_touches_who_had_it() -> None:
+    feed = feed_of([entry(f"h{n}", "s", "abbccc"[n % 6]) for n in range(18)])
+    feed.take(False, [gone(entry("h0", "s", "a")), gone(entry("h6", "s", "a"))])
+    assert feed.take(False, [gone(entry("h12", "s", "a"))]) == {("s", "r0"), (None, "r0"), EVERYTHING}
+
+
+def test_who_asks_for_other_services_is_told_those_and_that_the_rest_is_gone() -> None:
+    feed = feed_of()
+    first = ask(feed, Asker("g0", ("s",)))
+    second = ask(feed, Asker("g0", ("t",)), first.index)
+    told = {raw["service"]: raw["status"] for raw in raws(second)}
+    assert not second.whole and told == {"s": "DELETED", "t": "SERVING"}
+    assert len(raws(second)) == 2 * len(raws(first)) and feed.answer(Asker("g0", ("t",)), second.index) is None
+
+
+def test_a_service_whose_change_is_long_ago_is_looked_at_all_the_same() -> None:
+    feed = feed_of()
+    first = ask(feed, G0)
+    name = raws(first)[0]["name"]
+    feed.take(False, [drained(next(each for each in HOSTS if each["name"] == name))])
+    feed.changed.update({f"other{n}": feed.number for n in range(MOST_CHANGED)})  # as if so many had changed since
+    feed.take(False, [gone(entry("none", "u", "a")), entry("new", "u", "a")])
+    assert len(feed.changed) == MOST_CHANGED and states(ask(feed, G0, first.index))[name] == "DRAINING"
+
+
 @given(st.lists(st.tuples(st.integers(0, 59), st.sampled_from(("SERVING", "DRAINING", "DELETED"))), max_size=40))
 def test_who_is_not_touched_has_nothing_to_be_told(changes: list[tuple[int, str]]) -> None:
     feed = feed_of()
