Stand-in discovery: answers encoded once for many callers, services, cheap watches

Change: views may share Bodies (one encoding for all who ask the same, counted, no account); entries may have a service and a weight; many changes are learnt at once; the history's bound is passed in; watches wait on a future each.

--- a/standins/parties/registry.py
+++ b/standins/parties/registry.py
@@ -1,6 +1,8 @@
 """The registry of boxes: a list and a watch over HTTP/1.1, seconds late, and faults that are switched as it runs.
 
-Each gateway has a listener of its own, since the address of a box may differ from one gateway to the next.
+Each gateway has a listener of its own, since the address of a box may differ from one gateway to the next. Where many
+share one (`Bodies`), each answer is encoded once for all who ask the same, counted, and no account is kept of who was
+told what: whoever shares a listener judges by what the gateways got.
 """
 
 from __future__ import annotations
@@ -9,7 +11,7 @@
 import json
 import random
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -19,6 +21,7 @@
 
 HISTORY = 512  # changes kept for watches; who asks from before them gets the whole list
 MOST_HOLD_MS = 60_000
+BODIES = 64  # encoded answers kept at once; whoever is further behind has its own made
 
 
 @dataclass(slots=True)
@@ -38,11 +41,64 @@
     group: int
     since_ms: int
     status: str = "SERVING"
+    service: str | None = None  # None: the field is left out
+    weight: float = 1.0
+
+
+@dataclass(slots=True)
+class Counts:
+    """What went over a shared listener."""
+
+    calls: int = 0
+    wholes: int = 0
+    came: int = 0  # bytes
+    sent: int = 0
+
+
+class Bodies:
+    """Answers encoded once for all views that share the addresses: the whole list, and changes since a version."""
+
+    def __init__(self, registry: Registry, address_of: Callable[[str], Address | None]) -> None:
+        self.registry, self.address_of = registry, address_of
+        self.index = 0  # that `made` is for
+        self.made: dict[int | None, bytes] = {}  # by the version that is asked from; None: the whole list
+        self.texts: dict[str, tuple[int, bytes]] = {}  # of listed entries: the version of their last change, encoded
+
+    def body(self, since: int | None) -> bytes:
+        """The answer to who has this version; None: has none."""
+        registry = self.registry
+        if self.index != registry.index:
+            self.index = registry.index
+            self.made.clear()
+        body = self.made.get(since)
+        if body is None:
+            whole, forms = registry.forms_since(since)
+            texts = [self.text(form) if whole else self.encode(form) for form in forms]
+            head = b'{"index": %d, "snapshot": %s, "endpoints": [' % (self.index, b"true" if whole else b"false")
+            body = head + b", ".join(text for text in texts if text) + b"]}"
+            if len(self.made) < BODIES:
+                self.made[since] = body
+        return body
+
+    def text(self, form: dict[str, Any]) -> bytes:
+        """Of a listed entry: encoded again only once it has changed."""
+        changed = self.registry.changed.get(form["name"], 0)
+        known = self.texts.get(form["name"])
+        if known is None or known[0] != changed:
+            known = self.texts[form["name"]] = (changed, self.encode(form))
+        return known[1]
+
+    def encode(self, form: dict[str, Any]) -> bytes:
+        """b"" for one that cannot be reached from here."""
+        address = self.address_of(form["name"])
+        if address is None:
+            return b""
+        return json.dumps({"address": f"{address[0]}:{address[1]}"} | form).encode()
 
 
 @dataclass(slots=True, eq=False)
 class View:
-    """What one gateway is told, and where."""
+    """What one gateway is told, and where; with `bodies`, what many are told alike."""
 
     gateway: str
     address_of: Callable[[str], Address | None]  # of a box, as this gateway reaches it
@@ -51,16 +107,21 @@
     servers: list[asyncio.Server] = field(default_factory=list)
     calls: set[asyncio.Task[Any]] = field(default_factory=set)
     address: Address | None = None
+    bodies: Bodies | None = None
+    counts: Counts = field(default_factory=Counts)
 
 
 class Registry:
-    def __init__(self, ledger: Ledger, seed: int = 0) -> None:
+    """`history`: how many changes are kept for watches."""
+
+    def __init__(self, ledger: Ledger, seed: int = 0, history: int = HISTORY) -> None:
         self.ledger, self.dice = ledger, random.Random(f"{seed}/registry")
         self.faults = RegistryFaults()
         self.index = 1
         self.entries: dict[str, Entry] = {}
-        self.history: deque[tuple[int, str, dict[str, Any] | None]] = deque(maxlen=HISTORY)
-        self.news = asyncio.Condition()
+        self.history: deque[tuple[int, str, dict[str, Any] | None]] = deque(maxlen=history)
+        self.changed: dict[str, int] = {}  # listed entries that have changed: the version of their last change
+        self.waiting: set[asyncio.Future[None]] = set()  # watches
         self.views: dict[str, View] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -80,24 +141,54 @@
 
     async def learn(self, entry: Entry, status: str, wait_s: float) -> None:
         await asyncio.sleep(wait_s)
-        async with self.news:
-            if status != "SERVING" and self.entries.get(entry.name) is not entry:
-                return  # another has been registered under its name meanwhile
+        if status != "SERVING" and self.entries.get(entry.name) is not entry:
+            return  # another has been registered under its name meanwhile
+        self.change([(entry, status)])
+
+    def change(self, changes: Iterable[tuple[Entry, str]]) -> int:
+        """Learn of these now, all at once; returns when, in µs of the ledger's clock."""
+        for entry, status in changes:
             self.index += 1
             entry.status = status
             if status == "DELETED":
-                del self.entries[entry.name]
+                self.entries.pop(entry.name, None)
+                self.changed.pop(entry.name, None)
             else:
                 self.entries[entry.name] = entry
+                self.changed[entry.name] = self.index
             self.history.append((self.index, entry.name, self.form(entry)))
             self.ledger.add(Changed(now_us(), entry.name, status))
-            self.news.notify_all()
+        at_us = now_us()
+        self.wake()
+        return at_us
+
+    def wake(self) -> None:
+        """Whoever waits for news looks again."""
+        waiting, self.waiting = self.waiting, set()
+        for woken in waiting:
+            _end_wait(woken)
 
     def form(self, entry: Entry) -> dict[str, Any]:
         return {
             "name": entry.name, "zone": entry.room, "type": entry.kind, "group": entry.group,
-            "status": entry.status, "weight": 1.0, "since_ms": entry.since_ms,
-        }  # fmt: skip
+            "status": entry.status, "weight": entry.weight, "since_ms": entry.since_ms,
+        } | ({} if entry.service is None else {"service": entry.service})  # fmt: skip
+
+    def is_whole(self, since: int | None) -> bool:
+        """Whether who asks from this version is told the whole list."""
+        known = self.history[0][0] if self.history else self.index + 1
+        return since is None or since > self.index or (since < self.index and since + 1 < known)
+
+    def forms_since(self, since: int | None) -> tuple[bool, list[dict[str, Any]]]:
+        """Whether it is the whole list; its entries, or the newest of each that has changed since."""
+        if since is None or self.is_whole(since):
+            return True, [self.form(entry) for entry in self.entries.values()]
+        newest: dict[str, dict[str, Any] | None] = {}
+        for at, name, form in reversed(self.history):
+            if at <= since:
+                break
+            newest.setdefault(name, form)
+        return False, [form for form in reversed(newest.values()) if form]
 
     def step_back(self, by: int) -> None:
         """Lose the last versions' numbers: a registry restored from a copy."""
@@ -107,8 +198,8 @@
     # Listening
 
     async def open(self, gateway: str, address_of: Callable[[str], Address | None],
-                   may_pass: Callable[[], Awaitable[None]]) -> View:  # fmt: skip
-        view = View(gateway, address_of, may_pass)
+                   may_pass: Callable[[], Awaitable[None]], bodies: Bodies | None = None) -> View:  # fmt: skip
+        view = View(gateway, address_of, may_pass, bodies=bodies)
         self.views[gateway] = view
         await self.listen(view)
         return view
@@ -143,6 +234,11 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                view.counts.calls += 1
+                view.counts.came += len(head)
+                if view.bodies is not None:
+                    await self.answer(view, head, writer)
+                    continue
                 listening = Listening(now_us(), view.gateway)
                 self.ledger.add(listening)
                 try:
@@ -183,13 +279,13 @@
                     await asyncio.sleep(0.05)
             case _:
                 pass
-        known = self.history[0][0] if self.history else self.index + 1
-        whole = since is None or since > self.index or (since < self.index and since + 1 < known)
-        forms = (
-            [self.form(entry) for entry in self.entries.values()]
-            if whole
-            else list({name: form for at, name, form in self.history if form and at > (since or 0)}.values())
-        )
+        if view.bodies is not None:
+            view.counts.wholes += self.is_whole(since)
+            text = view.bodies.body(since)
+            await view.may_pass()
+            await self.write(view, writer, 200, text)
+            return
+        whole, forms = self.forms_since(since)
         entries = []
         for form in forms:
             address = view.address_of(form["name"])
@@ -205,14 +301,22 @@
         self.note(view, whole, entries)
 
     async def wait_for_news(self, since: int, hold_s: float) -> None:
-        try:
-            async with asyncio.timeout(hold_s), self.news:
-                await self.news.wait_for(lambda: self.index != since or bool(self.faults.down))
-        except TimeoutError:
-            pass
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + hold_s
+        while self.index == since and not self.faults.down and (left_s := until_s - loop.time()) > 0:
+            woken: asyncio.Future[None] = loop.create_future()
+            self.waiting.add(woken)
+            timer = loop.call_later(left_s, _end_wait, woken)
+            try:
+                await woken
+            finally:
+                timer.cancel()
+                self.waiting.discard(woken)
 
     async def write(self, view: View, writer: asyncio.StreamWriter, status: int, body: bytes) -> None:
-        writer.write(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
+        head = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(body))
+        view.counts.sent += len(head) + len(body)
+        writer.writelines((head, body))
         await writer.drain()
 
     def note(self, view: View, whole: bool, entries: list[dict[str, Any]]) -> None:
@@ -232,8 +336,7 @@
     async def set_down(self, how: str) -> None:
         """Go down in this way, or come back with "". Watches end when it goes down."""
         self.faults.down = how
-        async with self.news:
-            self.news.notify_all()
+        self.wake()
 
     def close(self) -> None:
         for task in self.tasks:
@@ -243,3 +346,8 @@
                 server.close()
             for call in list(view.calls):
                 call.cancel()
+
+
+def _end_wait(woken: asyncio.Future[None]) -> None:
+    if not woken.done():
+        woken.set_result(None)
