Relay: callers, the call to discovery, the command, its file

Change: relay/server.py (connections, calls that wait, wholes in turn, bounds), source.py (one caller of discovery; an age from the moment of the call, so never too young), calls.py, config.py, rereading.py, command.py; its tests.

--- /dev/null
+++ b/cloverkeel/relay/server.py
@@ -0,0 +1,458 @@
+"""The relay's callers: HTTP/1.1 connections, calls that wait for news, wholes in turn, what staff are shown.
+
+Invariants:
+- a relay that has no whole list answers 503, never an empty list;
+- `age_ms` is read from the clock as an answer is written, so a process that woke says how old what it has is;
+- one call a connection is out; connections, bytes of a head, wholes a second, wholes that wait and bytes that callers
+  have not taken are bounded, and so is the time of a caller that does not go on;
+- a change is worked out once it has come for TICK_S, for those callers alone whom it can touch, in slices of SLICE_S;
+- an answer without entries says that there was nothing new as it was written, not as it was asked for;
+- changes never wait for wholes: who is up to date is not held up by a wave of starts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import asdict
+from typing import Any, Final, cast
+
+import httptools
+
+from cloverkeel.core.clock import now_us
+from cloverkeel.core.log import log
+from cloverkeel.relay.asks import Answer, Asker
+from cloverkeel.relay.calls import LIST, Ask, CallError, Meter, read_query
+from cloverkeel.relay.config import RelayConfig
+from cloverkeel.relay.feed import Feed, Topic
+from cloverkeel.relay.roster import Roster
+from cloverkeel.relay.source import Source
+
+TICK_S: Final = 0.02  # changes that come within it are told as one: a zone lost is one pass
+SLICE_S: Final = 0.005  # of work before others get their turn
+HEAD_MOST: Final = 64 << 10  # bytes of a call: a gateway may name 256 services of 128 letters
+BACKLOG: Final = 1_024  # connections that come at once: all callers of a relay
+SWEEP_S: Final = 0.5  # between two looks for callers that do not go on
+WAIT_S: Final = 0.8  # for a whole, at the most: a gateway gives up after 1 s (membership/relays.py, FIRST_ANSWER_S)
+RETRY_S: Final = 1  # said with 503
+LARGE: Final = 256 << 10  # bytes: an answer of more is counted while it is not taken
+OK: Final = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%s\r\n"
+OTHER: Final = b"HTTP/1.1 %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%s\r\n%s"
+CLOSE: Final = b"Connection: close\r\n"
+RETRY: Final = b"Retry-After: %d\r\n" % RETRY_S
+BAD, MISSING, LONG, BUSY = b"400 Bad Request", b"404 Not Found", b"431 Too Large", b"503 Service Unavailable"
+
+
+class Caller(asyncio.Protocol):
+    """One connection."""
+
+    __slots__ = (
+        "ask", "asked", "asker", "body", "deadline_s", "gone", "hold", "keeps", "parser", "paused", "server", "size",
+        "target", "topics", "transport", "unsent",
+    )  # fmt: skip
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.parser: Any = httptools.HttpRequestParser(self)
+        self.size = 0  # bytes of the call that comes
+        self.target = b""
+        self.body = False
+        self.asked = False  # a call is out
+        self.keeps = True  # the connection goes on after the answer
+        self.ask: Ask | None = None  # that waits for news
+        self.asker: Asker | None = None  # whose topics it is found by
+        self.topics: tuple[Topic, ...] = ()
+        self.hold: asyncio.TimerHandle | None = None
+        self.deadline_s = 0.0  # for its next step; 0.0: it is our turn
+        self.paused = False  # it does not take what it was sent
+        self.unsent = 0  # bytes of large answers that count until it has taken them
+        self.gone = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self.transport.set_write_buffer_limits(0)  # paused until all is taken
+        self.server.on_made(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.gone = True
+        self.parser = None
+        self.server.on_lost(self)
+
+    def pause_writing(self) -> None:
+        self.paused = True
+        self.deadline_s = self.server.loop.time() + self.server.limits.slow_s
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        self.deadline_s = 0.0 if self.asked else self.server.loop.time() + self.server.limits.idle_s
+        self.server.on_taken(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.gone or self.parser is None:
+            return
+        self.size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.refuse(BAD, str(error.__context__ or error))
+        else:
+            if self.size > HEAD_MOST:
+                self.refuse(LONG, f"expected a call of at most {HEAD_MOST} bytes")
+
+    # httptools' callbacks
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_body(self, data: bytes) -> None:
+        self.body = True
+
+    def on_message_complete(self) -> None:
+        if self.asked or self.paused:
+            raise ValueError("one call at a time")
+        target, self.target, self.size = self.target, b"", 0
+        self.asked, self.keeps, self.deadline_s = True, self.parser.should_keep_alive(), 0.0
+        if self.body or self.parser.get_method() != b"GET" or self.parser.should_upgrade():
+            raise ValueError("expected a GET without a body or an upgrade")
+        self.server.on_call(self, target)
+
+    # Answers
+
+    def refuse(self, status: bytes, why: str) -> None:
+        """What came is no call: say so, and end the connection."""
+        self.keeps = False
+        self.server.counts["bad_calls"] += 1
+        self.say(status, json.dumps({"error": why[:200]}).encode())
+
+    def say(self, status: bytes, body: bytes = b"{}", more: bytes = b"") -> None:
+        more = more if self.keeps else more + CLOSE
+        self.write(OTHER % (status, len(body), more, body))
+
+    def write(self, data: bytes) -> None:
+        """The answer to the call that is out."""
+        if self.gone or self.transport is None or self.transport.is_closing():
+            return
+        self.end_wait()
+        self.asked = False
+        server = self.server
+        self.deadline_s = server.loop.time() + server.limits.idle_s
+        server.counts["bytes_out"] += len(data)
+        self.transport.write(data)
+        if self.paused and len(data) > LARGE:
+            self.unsent = len(data)
+            server.unsent += len(data)
+        if not self.keeps:
+            self.deadline_s = server.loop.time() + server.limits.slow_s
+            self.transport.close()
+
+    def end_wait(self) -> None:
+        if self.hold is not None:
+            self.hold.cancel()
+            self.hold = None
+        self.ask = None
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Server:
+    """All callers, and what each waits for."""
+
+    def __init__(self, config: RelayConfig, feed: Feed) -> None:
+        self.config, self.limits, self.feed = config, config.limits, feed
+        self.source = Source(config.discovery, self)
+        self.loop = asyncio.get_running_loop()
+        self.callers: set[Caller] = set()
+        self.waiting: dict[Topic, dict[Caller, None]] = {}  # for news, or that did, by what may be new
+        self.news: set[Topic] = set()  # since the last pass
+        self.passing: asyncio.Task[None] | None = None
+        rate = config.limits.wholes_per_s
+        self.meter = Meter(rate, rate)
+        self.queue: deque[tuple[float, Caller, Ask]] = deque()  # for a whole: until when, who, what
+        self.serving: asyncio.TimerHandle | None = None
+        self.sweeping: asyncio.TimerHandle | None = None
+        self.listener: asyncio.Server | None = None
+        self.unsent = 0  # bytes of large answers that callers have not taken
+        self.longest_pass_us = 0
+        self.counts = dict.fromkeys(
+            ("calls", "changes", "empties", "wholes", "wholes_refused", "not_ready", "bad_calls", "bytes_out",
+             "connections_refused", "closed_slow", "closed_idle", "passes", "touched"), 0,
+        )  # fmt: skip
+
+    async def start(self) -> None:
+        """OSError where it cannot listen."""
+        host, port = self.config.listen
+        self.listener = await self.loop.create_server(lambda: Caller(self), host, port, backlog=BACKLOG)
+        self.sweep()
+        self.source.start()
+
+    @property
+    def port(self) -> int:
+        assert self.listener is not None
+        return int(self.listener.sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        """Take no more calls; who waits for news is told that there is none, and that the connection ends."""
+        self.source.close()
+        if self.listener is not None:
+            self.listener.close()
+        for handle in (self.sweeping, self.serving):
+            if handle is not None:
+                handle.cancel()
+        if self.passing is not None:
+            self.passing.cancel()
+        for caller in list(self.callers):
+            caller.keeps = False
+            if caller.ask is not None:
+                self.say_nothing_new(caller, caller.ask)
+            elif caller.transport is not None:
+                caller.transport.close()
+
+    # Connections
+
+    def on_made(self, caller: Caller) -> None:
+        if len(self.callers) >= self.limits.connections:
+            self.counts["connections_refused"] += 1
+            caller.abort()
+            return
+        self.callers.add(caller)
+        caller.deadline_s = self.loop.time() + self.limits.idle_s
+
+    def on_lost(self, caller: Caller) -> None:
+        caller.end_wait()
+        self.find_by(caller, None)
+        self.callers.discard(caller)
+        self.on_taken(caller)
+
+    def on_taken(self, caller: Caller) -> None:
+        self.unsent -= caller.unsent
+        caller.unsent = 0
+
+    def sweep(self) -> None:
+        """End the connections of those who do not go on."""
+        now_s = self.loop.time()
+        for caller in list(self.callers):
+            if 0.0 < caller.deadline_s < now_s:
+                self.counts["closed_slow" if caller.paused or caller.size else "closed_idle"] += 1
+                caller.abort()
+        self.sweeping = self.loop.call_later(SWEEP_S, self.sweep)
+
+    # Calls
+
+    def on_call(self, caller: Caller, target: bytes) -> None:
+        self.counts["calls"] += 1
+        path, _, query = target.partition(b"?")
+        if path == LIST:
+            try:
+                ask = read_query(query)
+            except CallError as error:
+                caller.refuse(BAD, str(error))
+                return
+            self.on_ask(caller, ask)
+        elif path == b"/health/ready":
+            caller.say(b"200 OK" if self.is_ready else BUSY)
+        elif path == b"/relay/state":
+            caller.say(b"200 OK", json.dumps(self.state()).encode())
+        else:
+            caller.say(MISSING)
+
+    def on_ask(self, caller: Caller, ask: Ask) -> None:
+        if not self.feed.ready:
+            self.counts["not_ready"] += 1
+            caller.say(BUSY, more=RETRY)
+            return
+        if ask.since is None:
+            self.on_whole(caller, ask)
+            return
+        answer = self.feed.answer(ask.asker, ask.since)
+        if answer is not None:
+            self.tell_news(caller, ask, answer)
+        elif not ask.hold_ms:
+            self.say_nothing_new(caller, ask)
+        else:
+            self.wait(caller, ask)
+
+    def send(self, caller: Caller, answer: Answer) -> int:
+        body = answer.body(self.source.age_ms(now_us()))
+        caller.write(OK % (len(body), b"" if caller.keeps else CLOSE) + body)
+        return len(body)
+
+    def say_nothing_new(self, caller: Caller, ask: Ask) -> None:
+        """It goes on from the answer that it has."""
+        assert ask.since is not None
+        self.counts["empties"] += 1
+        self.send(caller, Answer(ask.since, False, ()))
+
+    # Wholes, in turn
+
+    def on_whole(self, caller: Caller, ask: Ask, answer: Answer | None = None) -> None:
+        if not self.queue and self.may_go():
+            self.go(caller, ask, answer)
+        elif len(self.queue) < self.limits.wholes_per_s * WAIT_S:
+            self.queue.append((self.loop.time() + WAIT_S, caller, ask))
+            self.serve_later()
+        else:
+            self.refuse_whole(caller)
+
+    def may_go(self) -> bool:
+        return self.unsent <= self.limits.unsent_mb << 20 and not self.meter.wait_s(self.loop.time())
+
+    def go(self, caller: Caller, ask: Ask, answer: Answer | None = None) -> None:
+        answer = answer or self.feed.answer(ask.asker, None)
+        assert answer is not None  # who has nothing lacks the whole
+        self.counts["wholes"] += 1
+        self.meter.went(self.send(caller, answer))
+
+    def refuse_whole(self, caller: Caller) -> None:
+        self.counts["wholes_refused"] += 1
+        caller.say(BUSY, more=RETRY)
+
+    def serve_later(self) -> None:
+        if self.serving is None:
+            wait_s = max(self.meter.wait_s(self.loop.time()), SLICE_S if self.unsent else 0.0)
+            self.serving = self.loop.call_later(wait_s, self.serve)
+
+    def serve(self) -> None:
+        """Those whose turn it is, for a slice at the most."""
+        self.serving = None
+        end_s = self.loop.time() + SLICE_S
+        while self.queue and self.loop.time() < end_s:
+            until_s, caller, ask = self.queue[0]
+            if caller.gone:
+                self.queue.popleft()
+            elif until_s < self.loop.time():
+                self.queue.popleft()
+                self.refuse_whole(caller)
+            elif self.may_go():
+                self.queue.popleft()
+                self.go(caller, ask)
+            else:
+                break
+        if self.queue:
+            self.serve_later()
+
+    # Waiting for news
+
+    def wait(self, caller: Caller, ask: Ask) -> None:
+        caller.ask = ask
+        if caller.asker != ask.asker:
+            self.find_by(caller, ask.asker)
+        caller.hold = self.loop.call_later(ask.hold_ms / 1000, self.end_hold, caller, ask)
+
+    def end_hold(self, caller: Caller, ask: Ask) -> None:
+        """Its time is over; what came a moment ago is told all the same."""
+        answer = self.feed.answer(ask.asker, ask.since)
+        if answer is None:
+            self.say_nothing_new(caller, ask)
+        else:
+            self.tell_news(caller, ask, answer)
+
+    def tell_news(self, caller: Caller, ask: Ask, answer: Answer) -> None:
+        if answer.whole:  # what it has is of another relay, or of too long ago
+            caller.end_wait()
+            self.on_whole(caller, ask, answer)
+        else:
+            self.counts["changes"] += 1
+            self.send(caller, answer)
+
+    def find_by(self, caller: Caller, asker: Asker | None) -> None:
+        """From call to call: who waits mostly asks the same again."""
+        for topic in caller.topics:
+            there = self.waiting[topic]
+            del there[caller]
+            if not there:
+                del self.waiting[topic]
+        caller.asker, caller.topics = asker, self.feed.topics(asker) if asker is not None else ()
+        for topic in caller.topics:
+            self.waiting.setdefault(topic, {})[caller] = None
+
+    def hear(self, whole: bool, items: list[Any]) -> bool:
+        """What discovery says; whether it could be used."""
+        unfit = self.feed.counts.rubbish_lists
+        topics = self.feed.take(whole, items)
+        if self.feed.counts.rubbish_lists != unfit:
+            return False
+        self.on_news(topics)
+        return True
+
+    def set_roster(self, roster: Roster) -> None:
+        self.feed.set_roster(roster)
+        for caller in self.callers:
+            self.find_by(caller, caller.asker)
+        self.on_news(self.waiting)
+
+    def on_news(self, topics: Iterable[Topic]) -> None:
+        self.news.update(topics)
+        if self.news and self.passing is None:
+            self.passing = self.loop.create_task(self.passes())
+
+    async def passes(self) -> None:
+        """Tell those who wait, once for all that comes within a tick; again for what came meanwhile."""
+        try:
+            while self.news:
+                await asyncio.sleep(TICK_S)
+                news, self.news = self.news, set()
+                self.counts["passes"] += 1
+                begun_s = self.loop.time()
+                await self.tell_touched(news)
+                self.longest_pass_us = max(self.longest_pass_us, int((self.loop.time() - begun_s) * 1e6))
+        finally:
+            self.passing = None
+
+    async def tell_touched(self, news: set[Topic]) -> None:
+        touched: dict[Caller, None] = {}
+        for topic in news:
+            touched.update(self.waiting.get(topic, {}))
+        end_s = self.loop.time() + SLICE_S
+        for caller in touched:
+            if self.loop.time() > end_s:
+                await asyncio.sleep(0)
+                end_s = self.loop.time() + SLICE_S
+            ask = caller.ask
+            if ask is None:  # it has gone, or was answered meanwhile
+                continue
+            self.counts["touched"] += 1
+            answer = self.feed.answer(ask.asker, ask.since)
+            if answer is not None:
+                self.tell_news(caller, ask, answer)
+
+    # For staff
+
+    @property
+    def is_ready(self) -> bool:
+        return self.feed.ready and self.source.age_ms(now_us()) <= self.limits.stale_ms
+
+    def state(self) -> dict[str, Any]:
+        """What `python -m cloverkeel relay show` prints, of this process since its start."""
+        source = self.source
+        return {
+            "name": self.config.name,
+            "ready": self.is_ready,
+            "version": self.feed.index if self.feed.ready else None,
+            "discovery_version": source.index_of_discovery,
+            "age_ms": source.age_ms(now_us()) if source.confirmed_us is not None else None,
+            "roster": self.feed.roster.digest,
+            "hosts": len(self.feed.hosts),
+            "services": len(self.feed.services),
+            "feed": asdict(self.feed.counts),
+            "callers": len(self.callers),
+            "waiting": sum(caller.ask is not None for caller in self.callers),
+            "wholes_queued": len(self.queue),
+            "unsent_bytes": self.unsent,
+            "longest_stop_ms": source.longest_stop_us // 1000,
+            "longest_pass_ms": self.longest_pass_us // 1000,
+            "gaps": source.gaps,
+            "longest_gap_ms": source.longest_gap_us // 1000,
+            "discovery_failures": source.failures,
+            "discovery_rubbish": source.rubbish,
+            "last_wrong": source.last_wrong,
+        } | self.counts
+
+    def close_all(self) -> None:
+        for caller in list(self.callers):
+            caller.abort()
+        log(f"relay ends; {json.dumps(self.counts)}")
--- /dev/null
+++ b/cloverkeel/relay/source.py
@@ -0,0 +1,120 @@
+"""The call to discovery: a relay asks as one caller, for the whole list, and knows when it was last told the truth.
+
+Invariants:
+- at `confirmed_us` or later discovery had just what is held: it is when the call was made whose answer said so. So an
+  answer that was long on its way, or waited in the kernel while this process stood still, is no younger than it is;
+- an answer that cannot be read changes nothing: what is held stays, its age grows, and the whole list is asked for;
+- after a gap of this process discovery is asked anew at once, on another connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any, Final, Protocol
+
+from cloverkeel.core.clock import now_us
+from cloverkeel.core.config import Address
+from cloverkeel.core.log import log
+from cloverkeel.membership.registry import Caller
+from cloverkeel.membership.watch import LATE_S, LIST, Query, Watch
+
+BEAT_S: Final = 0.05  # between two looks at the clock
+GAP_US: Final = 1_000_000  # between looks: more, and discovery is asked anew, on another connection
+HELD_S: Final = 0.25  # of a call for news: an age is up to twice that. 4 calls a second of each relay
+LOG_MOST: Final = 200  # letters of what could not be read
+
+
+class Taker(Protocol):
+    """Who is told what discovery says."""
+
+    def hear(self, whole: bool, items: list[Any]) -> bool:
+        """Whether it could be used; if not, nothing has changed."""
+
+
+class SourceWatch(Watch):
+    """As a gateway's, but each call is held for a shorter time."""
+
+    def next_query(self, now_s: float) -> Query:
+        query = super().next_query(now_s)
+        if not query.holds:
+            return query
+        return Query(LIST + b"?from=%d&hold_ms=%d" % (self.index or 0, int(HELD_S * 1000)), HELD_S + LATE_S, True)
+
+
+class Source(Caller):
+    """Asks discovery for the whole list and its changes, for as long as it runs."""
+
+    def __init__(self, address: Address, taker: Taker) -> None:
+        super().__init__(address, pushed=True)
+        self.plan = SourceWatch()
+        self.taker = taker
+        self.asked_us = 0  # when the call that is out was made
+        self.asked_whole = True  # what it asks for
+        self.confirmed_us: int | None = None  # discovery had just this then, or later; None: nothing was heard
+        self.looked_us = now_us()
+        self.index_of_discovery: int | None = None
+        self.rubbish = self.failures = 0  # answers that could not be used; calls that failed
+        self.last_wrong = ""
+        self.gaps = 0
+        self.longest_stop_us = self.longest_gap_us = 0
+        self.beating: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        self.beat()
+        self.watch(True)
+
+    def close(self) -> None:
+        if self.beating is not None:
+            self.beating.cancel()
+        super().close()
+
+    def age_ms(self, at_us: int) -> int:
+        """Since discovery had just this, at the most."""
+        return 0 if self.confirmed_us is None else max(0, at_us - self.confirmed_us) // 1000
+
+    # The clock
+
+    def beat(self) -> None:
+        at_us = now_us()
+        stop_us = at_us - self.looked_us - int(BEAT_S * 1e6)
+        self.looked_us = at_us
+        self.beating = asyncio.get_running_loop().call_later(BEAT_S, self.beat)
+        if stop_us < GAP_US:
+            self.longest_stop_us = max(self.longest_stop_us, stop_us)
+            return
+        self.gaps += 1
+        self.longest_gap_us = max(self.longest_gap_us, stop_us)
+        log(f"stood still for {stop_us // 1000} ms; discovery is asked anew")
+        if not self.closed:
+            self.begin(watches=True)
+
+    # The caller's seams
+
+    def target(self, query: Query) -> bytes:
+        self.asked_us, self.asked_whole = now_us(), self.plan.index is None
+        return query.target
+
+    def take(self, body: bytes) -> bool:
+        try:
+            raw = json.loads(body)
+            index, whole, entries = raw["index"], raw.get("snapshot", False), raw.get("endpoints", [])
+            if not isinstance(index, int) or not isinstance(whole, bool) or not isinstance(entries, list):
+                raise ValueError("not a list of hosts")
+            if self.asked_whole and not whole:
+                raise ValueError("expected the whole list, found changes")
+            usable = self.plan.on_answer(asyncio.get_running_loop().time(), index, whole)
+            if usable and not self.taker.hear(whole, entries):
+                raise ValueError("too few of its entries are hosts")
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+            self.rubbish += 1
+            self.last_wrong = f"{type(error).__name__}: {error}"[:LOG_MOST]
+            self.plan.ask_whole()  # what is held may lack what this would have told
+            raise ValueError(f"an answer cannot be used ({self.last_wrong}); what is held stays") from None
+        if usable:
+            self.index_of_discovery = index
+            self.confirmed_us = self.asked_us
+        return bool(entries)
+
+    def failed(self) -> None:
+        self.failures += 1
--- /dev/null
+++ b/tests/test_relay_server.py
@@ -0,0 +1,473 @@
+"""The relay's I/O in this process, between a stand-in discovery and scripted callers; its file and its command."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cloverkeel.core.clock import now_us
+from cloverkeel.core.config import ConfigError
+from cloverkeel.relay.calls import Ask, CallError, Meter, read_query
+from cloverkeel.relay.asks import Asker
+from cloverkeel.relay.config import Limits, RelayConfig, load
+from cloverkeel.relay.feed import Feed
+from cloverkeel.relay.rereading import Rereader
+from cloverkeel.relay.roster import parse_roster
+from cloverkeel.relay.server import HEAD_MOST, Server
+from standins.ledger import Ledger
+from standins.parties.network import reserve
+from standins.parties.registry import Entry, Registry
+from tests import sockets
+from tests.sockets import Client, Message, Peer, list_reply, on_loop, peer, reply, until
+
+ROSTER = json.dumps({
+    "regions": {"r0": ["a", "b"]},
+    "gateways": {
+        "g0": {"zone": "a", "services": ["s"]}, "g1": {"zone": "b", "services": ["t"]}, "g2": {"zone": "a"},
+    },
+}).encode()  # fmt: skip
+HOLD = "&hold_ms=20000"
+
+
+@dataclass
+class Desk:
+    """A relay, and the discovery that it asks."""
+
+    registry: Registry
+    server: Server
+
+    async def client(self) -> Client:
+        return Client(*await asyncio.open_connection("127.0.0.1", self.server.port))
+
+    async def get(self, target: str, client: Client | None = None) -> Message:
+        caller = client or await self.client()
+        return await caller.ask(f"GET {target} HTTP/1.1\r\nHost: r\r\n\r\n".encode())
+
+    async def listed(self, query: str, client: Client | None = None) -> dict[str, Any]:
+        answer = await self.get(f"/registry/instances?{query}", client)
+        assert answer.status == 200, answer
+        found: dict[str, Any] = json.loads(answer.body)
+        return found
+
+    async def state(self) -> dict[str, Any]:
+        found: dict[str, Any] = json.loads((await self.get("/relay/state")).body)
+        return found
+
+    def change(self, *changes: tuple[str, str]) -> None:
+        self.registry.change([(self.registry.entries[name], status) for name, status in changes])
+
+    async def has(self, count: int) -> None:
+        server = self.server
+        await until(lambda: server.feed.ready and len(server.feed.hosts) == count and server.passing is None)
+
+
+def entry(number: int, service: str = "s") -> Entry:
+    return Entry(f"{service}-{number}", "ab"[number % 2], "m", 0, 0, service=service)
+
+
+@asynccontextmanager
+async def relay(address: str, limits: Limits | None = None) -> AsyncIterator[Server]:
+    host, _, port = address.rpartition(":")
+    config = RelayConfig("here", "relay-1", ("127.0.0.1", 0), (host, int(port)), "roster", limits or Limits())
+    server = Server(config, Feed(parse_roster(ROSTER, "roster"), now_us()))
+    await server.start()
+    try:
+        yield server
+    finally:
+        server.close()
+        server.close_all()
+
+
+async def passes() -> None:
+    return None
+
+
+@asynccontextmanager
+async def desk(limits: Limits | None = None, ready: bool = True) -> AsyncIterator[Desk]:
+    """A relay that has heard of four hosts of each of two services."""
+    registry = Registry(Ledger())
+    for service in "st":
+        for number in range(4):
+            registry.put(entry(number, service))
+    view = await registry.open("relay", lambda name: ("127.0.0.1", 9000 + ord(name[0]) + int(name[2:])), passes)
+    if not ready:
+        await registry.set_down("503")
+    assert view.address is not None
+    try:
+        async with relay(f"{view.address[0]}:{view.address[1]}", limits) as server:
+            one = Desk(registry, server)
+            if ready:
+                await one.has(8)
+            yield one
+    finally:
+        registry.close()
+
+
+def names(listed: dict[str, Any]) -> dict[str, str]:
+    return {item["name"]: item["status"] for item in listed["endpoints"]}
+
+
+# What is answered
+
+
+@on_loop
+async def test_a_relay_that_has_no_list_yet_never_says_that_nobody_serves() -> None:
+    async with desk(ready=False) as one:
+        for query in ("gateway=g0", "gateway=g0&from=5&hold_ms=1000", ""):
+            answer = await one.get(f"/registry/instances?{query}")
+            assert (answer.status, answer.headers["retry-after"]) == (503, "1")
+        assert (await one.get("/health/ready")).status == 503
+        assert (await one.state())["version"] is None
+        await one.registry.set_down("")
+        await one.has(8)
+        assert len((await one.listed("gateway=g0"))["endpoints"]) == 4
+        assert (await one.get("/health/ready")).status == 200
+
+
+@on_loop
+async def test_who_names_itself_is_told_its_subset_and_others_all() -> None:
+    async with desk() as one:
+        whole = await one.listed("gateway=g0&services=s&wide=0")
+        assert whole["snapshot"] is True and set(names(whole)) == {f"s-{n}" for n in range(4)}
+        assert all(item["service"] == "s" and item["users"] >= 1 for item in whole["endpoints"])
+        assert len(names(await one.listed(""))) == len(names(await one.listed("gateway=nobody"))) == 8
+        assert len(names(await one.listed("gateway=g2"))) == 8
+
+
+@on_loop
+async def test_a_wait_ends_with_news_and_only_for_whom_it_touches() -> None:
+    async with desk() as one:
+        mine, other = await one.client(), await one.client()
+        first, second = await one.listed("gateway=g0", mine), await one.listed("gateway=g1", other)
+        waits = [
+            asyncio.create_task(one.listed(f"gateway={name}&from={held['index']}{HOLD}", client))
+            for name, held, client in (("g0", first, mine), ("g1", second, other))
+        ]
+        await until(lambda: sum(caller.ask is not None for caller in one.server.callers) == 2)
+        one.change(("s-1", "DRAINING"))
+        told = await waits[0]
+        assert told["snapshot"] is False and names(told) == {"s-1": "DRAINING"} and told["index"] > first["index"]
+        assert not waits[1].done() and one.server.counts["touched"] == 1
+        one.change(("t-2", "DELETED"))
+        assert names(await waits[1]) == {"t-2": "DELETED"}
+
+
+@on_loop
+async def test_a_wait_without_news_ends_with_an_answer_to_go_on_from() -> None:
+    async with desk() as one:
+        first = await one.listed("gateway=g0")
+        for hold_ms in (0, 30):
+            empty = await one.listed(f"gateway=g0&from={first['index']}&hold_ms={hold_ms}")
+            assert (empty["snapshot"], empty["endpoints"]) == (False, [])
+        one.change(("s-0", "DELETED"))
+        await one.has(7)
+        assert names(await one.listed(f"gateway=g0&from={empty['index']}")) == {"s-0": "DELETED"}
+
+
+@on_loop
+async def test_changes_that_come_together_are_one_answer() -> None:
+    async with desk() as one:
+        client = await one.client()
+        held = await one.listed("gateway=g0", client)
+        wait = asyncio.create_task(one.listed(f"gateway=g0&from={held['index']}{HOLD}", client))
+        await until(lambda: any(caller.ask for caller in one.server.callers))
+        passed = one.server.counts["passes"]
+        for number in range(3):  # three answers of discovery, one tick
+            one.server.hear(False, [{
+                "name": f"s-{number}", "address": "127.0.0.1:1", "zone": "a", "service": "s", "status": "DRAINING",
+            }])  # fmt: skip
+        assert set(names(await wait)) == {"s-0", "s-1", "s-2"}
+        assert one.server.counts["passes"] == passed + 1 and one.server.counts["changes"] == 1
+
+
+@on_loop
+async def test_versions_of_another_relay_mean_nothing_here() -> None:
+    async with desk() as one, desk() as two:
+        held = await one.listed("gateway=g0")
+        other = await two.listed(f"gateway=g0&from={held['index']}{HOLD}")
+        assert other["snapshot"] is True and len(other["endpoints"]) == 4
+
+
+# Wholes in turn
+
+
+@on_loop
+async def test_wholes_are_served_in_turn_and_refused_beyond_while_changes_go_on() -> None:
+    rate = 10
+    async with desk(Limits(wholes_per_s=rate)) as one:
+        client = await one.client()
+        held = await one.listed("gateway=g0", client)
+        wait = asyncio.create_task(one.listed(f"gateway=g0&from={held['index']}{HOLD}", client))
+        await until(lambda: any(caller.ask for caller in one.server.callers))
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        asked = [asyncio.create_task(one.get("/registry/instances?gateway=g1")) for _ in range(4 * rate)]
+        await until(lambda: one.server.counts["wholes_refused"] > 0)
+        one.change(("s-0", "DRAINING"))
+        await wait
+        assert one.server.queue, "the change came while wholes waited"
+        answers = await asyncio.gather(*asked)
+        took_s = loop.time() - begun_s
+        served = sum(answer.status == 200 for answer in answers)
+        refused = [answer for answer in answers if answer.status == 503]
+        assert served + len(refused) == len(answers) and all("retry-after" in answer.headers for answer in refused)
+        assert served <= rate * (1 + took_s) + 1
+        assert served >= 1.5 * rate, "a burst, and those that wait, are served"
+
+
+def test_a_large_whole_is_paid_for_by_those_after_it() -> None:
+    meter = Meter(rate=10.0, burst=2.0)
+    assert meter.wait_s(100.0) == 0.0
+    meter.went(4 << 20)
+    assert meter.wait_s(100.0) > 1.0
+    assert meter.wait_s(102.0) == 0.0
+
+
+# Bounds
+
+
+@on_loop
+async def test_a_caller_that_takes_no_answer_is_closed_and_wholes_wait_meanwhile() -> None:
+    async with desk(Limits(slow_s=1, unsent_mb=1)) as one:
+        one.server.hear(False, [
+            {"name": f"t-{n}", "address": "127.0.0.1:1", "zone": "x" * 200, "service": "t", "status": "SERVING"}
+            for n in range(40_000)
+        ])  # fmt: skip
+        slow = await one.client()
+        slow.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        slow.send(b"GET /registry/instances HTTP/1.1\r\nHost: r\r\n\r\n")
+        await until(lambda: one.server.unsent > 1 << 20)
+        assert (await one.get("/registry/instances?gateway=g0")).status == 503, "it waited for its turn in vain"
+        await until(lambda: one.server.counts["closed_slow"] == 1 and not one.server.unsent)
+        assert len((await one.listed("gateway=g0"))["endpoints"]) == 4
+        slow.close()
+
+
+@on_loop
+async def test_connections_are_bounded_and_idle_ones_end() -> None:
+    async with desk(Limits(connections=2, idle_s=2)) as one:
+        first, second, third = [await one.client() for _ in range(3)]
+        assert await third.reader.read() == b"", "beyond the bound"
+        assert (await one.get("/health/ready", first)).status == 200
+        assert await second.reader.read() == b"" and await first.reader.read() == b""
+        assert one.server.counts["closed_idle"] == 2
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (b"GET /registry/instances?wide=9 HTTP/1.1\r\nHost: r\r\n\r\n", 400),
+        (b"GET /registry/instances?from=x HTTP/1.1\r\nHost: r\r\n\r\n", 400),
+        (b"POST /registry/instances HTTP/1.1\r\nHost: r\r\nContent-Length: 1\r\n\r\nx", 400),
+        (b"GET /registry/instances?services=" + b"x" * HEAD_MOST, 431),
+        (b"no call\r\n\r\n", 400),
+        (b"GET /health/ready HTTP/1.1\r\nHost: r\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", 400),
+    ],
+    ids=["wide", "from", "body", "long", "garbage", "upgrade"],
+)
+@on_loop
+async def test_what_is_no_call_is_refused_and_the_connection_ends(sent: bytes, status: int) -> None:
+    async with desk() as one:
+        client = await one.client()
+        client.send(sent)
+        assert (await client.answer()).status == status
+        assert await client.reader.read() == b""
+
+
+@on_loop
+async def test_a_second_call_beside_one_that_waits_is_refused() -> None:
+    async with desk() as one:
+        client = await one.client()
+        held = await one.listed("gateway=g0", client)
+        call = f"GET /registry/instances?gateway=g0&from={held['index']}{HOLD} HTTP/1.1\r\nHost: r\r\n\r\n".encode()
+        client.send(call + call)
+        assert (await client.answer()).status == 400
+        await until(lambda: not one.server.waiting and not one.server.callers)
+
+
+def test_a_call_is_read_and_what_it_does_not_know_is_left() -> None:
+    assert read_query(b"gateway=g%201&services=a,b%2Cc&wide=2&from=7&hold_ms=99999999&x=1") == Ask(
+        Asker("g 1", ("a", "b,c"), 2), 7, 60_000
+    )
+    assert read_query(b"") == Ask(Asker(), None)
+    names = (b"gateway=%ff", b"gateway=" + b"x" * 300, b"services=" + b"," * 9_999)
+    for query in (b"wide=4", b"from=-1", b"hold_ms=", *names):
+        with pytest.raises(CallError):
+            read_query(query)
+
+
+# What discovery says
+
+
+@asynccontextmanager
+async def scripted() -> AsyncIterator[tuple[list[bytes], Peer]]:
+    """A discovery that answers what stands last in the list."""
+    answers: list[bytes] = []
+    async with peer(lambda exchange: exchange.answer(answers[-1])) as one:
+        yield answers, one
+
+
+def whole(index: int, *hosts: str) -> bytes:
+    entries: list[dict[str, object]] = [
+        {"name": name, "address": "127.0.0.1:1", "zone": "a", "status": "SERVING", "service": "s"} for name in hosts
+    ]  # fmt: skip
+    return list_reply(index, *entries)
+
+
+@pytest.mark.parametrize(
+    "rubbish",
+    [
+        reply(200, b'{"index":'),
+        reply(200, b"[]"),
+        reply(200, b'{"index":9,"snapshot":true,"endpoints":{}}'),
+        reply(200, b'{"index":9,"snapshot":true,"endpoints":[1,2,3]}'),
+        reply(200, b"[" * 100_000),
+        reply(500),
+    ],
+    ids=["cut short", "no object", "no entries", "no host", "deep", "a failure"],
+)
+@on_loop
+async def test_rubbish_from_discovery_leaves_what_is_held_and_its_age_grows(rubbish: bytes) -> None:
+    async with scripted() as (answers, discovery):
+        answers.append(whole(5, "s-0", "s-1"))
+        async with relay(discovery.address, Limits(stale_ms=1_000)) as server:
+            one = Desk(Registry(Ledger()), server)
+            await one.has(2)
+            answers.append(rubbish)
+            await until(lambda: not server.is_ready)
+            listed = await one.listed("gateway=g0")
+            assert set(names(listed)) == {"s-0", "s-1"} and listed["age_ms"] > 1_000
+            state = await one.state()
+            assert state["ready"] is False and (state["discovery_rubbish"] or state["discovery_failures"])
+            answers.append(whole(1, "s-1", "s-2"))  # it begins anew
+            await until(lambda: server.is_ready)
+            told = await one.listed(f"gateway=g0&from={listed['index']}")
+            assert names(told) == {"s-0": "DELETED", "s-2": "SERVING"}
+
+
+@on_loop
+async def test_an_answer_that_waited_while_the_process_stood_still_is_as_old_as_it_is() -> None:
+    async with desk() as one:
+        source = one.server.source
+        await until(lambda: source.age_ms(now_us()) < 1_500)
+        # As after a stop of 5 s: the call that is out was made before it, and so was the last look at the clock.
+        source.asked_us = source.looked_us = now_us() - 5_000_000
+        source.take(b'{"index": 1, "snapshot": false, "endpoints": []}')
+        assert source.age_ms(now_us()) >= 5_000
+        await until(lambda: source.gaps == 1 and source.age_ms(now_us()) < 1_500)
+
+
+# The roster
+
+
+@on_loop
+async def test_the_roster_is_read_again_and_a_bad_one_changes_nothing(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "roster.json"
+    async with desk() as one:
+        client, rereader = await one.client(), Rereader(str(file), one.server)
+        held = await one.listed("gateway=g0", client)
+        wait = asyncio.create_task(one.listed(f"gateway=g0&from={held['index']}{HOLD}", client))
+        await until(lambda: any(caller.ask for caller in one.server.callers))
+        digest = one.server.feed.roster.digest
+        file.write_bytes(b"{}")
+        rereader.ask()
+        await until(lambda: rereader.reading is None)
+        assert one.server.feed.roster.digest == digest and "stays as it is" in capsys.readouterr().err
+        file.write_bytes(ROSTER.replace(b'["s"]', b'["s", "t"]'))
+        rereader.ask()
+        assert set(names(await wait)) == {f"t-{n}" for n in range(4)}
+        assert (await one.state())["roster"] != digest
+
+
+# The file and the command
+
+FILE = 'name = "relay-1"\nlisten = "127.0.0.1:1"\ndiscovery = "127.0.0.1:2"\nroster = "roster.json"\n'
+
+
+def test_the_file_gives_addresses_and_limits(tmp_path: Path) -> None:
+    file = tmp_path / "relay.toml"
+    file.write_text(FILE + "[limits]\nwholes_per_s = 7\n")
+    config = load(str(file))
+    assert (config.listen, config.discovery) == (("127.0.0.1", 1), ("127.0.0.1", 2))
+    assert config.roster == str(tmp_path / "roster.json")
+    assert config.limits == replace(Limits(), wholes_per_s=7)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('name = "relay-1"', 'name = ""', "name: expected 1 to 64 letters, found ''"),
+        ('listen = "127.0.0.1:1"', 'listen = "here"', "listen: expected host:port, found 'here'"),
+        ('discovery = "127.0.0.1:2"\n', "", "discovery: expected host:port, found None"),
+        ('roster = "roster.json"', "roster = 3", "roster: expected the path of a file, found 3"),
+        ("roster =", "rooster =", "rooster: unknown; expected one of name, listen"),
+        ("name =", "limits = 3\nname =", "limits: expected a table, found 3"),
+        ("name =", "limits.slow_s = 0\nname =", "limits: slow_s: expected a whole number from 1 to 60, found 0"),
+        ("name =", "limits.fast_s = 0\nname =", "limits: fast_s: unknown; expected one of connections"),
+        ("name =", "=", "not TOML"),
+    ],
+)
+def test_a_mistake_in_the_file_names_file_key_and_what_was_expected(
+    tmp_path: Path, old: str, new: str, said: str
+) -> None:
+    file = tmp_path / "relay.toml"
+    file.write_text(FILE.replace(old, new))
+    with pytest.raises(ConfigError) as raised:
+        load(str(file))
+    assert str(raised.value).startswith(f"{file}: ") and said in str(raised.value)
+
+
+@on_loop
+async def test_the_command_runs_shows_and_ends(tmp_path: Path) -> None:
+    registry = Registry(Ledger())
+    registry.put(entry(0))
+    view = await registry.open("relay", lambda name: ("127.0.0.1", 9000), passes)
+    assert view.address is not None
+    held = reserve()
+    here = f"127.0.0.1:{held.getsockname()[1]}"
+    file, roster = tmp_path / "relay.toml", tmp_path / "roster.json"
+    file.write_text(FILE.replace("127.0.0.1:1", here).replace("127.0.0.1:2", f"127.0.0.1:{view.address[1]}"))
+
+    def command(*words: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run([*sockets.PROGRAM, "relay", *words], capture_output=True, text=True, timeout=20)
+
+    missing = await asyncio.to_thread(command, str(file))
+    assert missing.returncode == 2 and f"{roster}: No such file" in missing.stderr
+    assert (await asyncio.to_thread(command, "show")).returncode == 2
+    roster.write_bytes(ROSTER)
+    process = await asyncio.create_subprocess_exec(
+        *sockets.PROGRAM, "relay", str(file), stderr=asyncio.subprocess.PIPE
+    )
+    try:
+        assert process.stderr is not None
+        line = (await process.stderr.readline()).decode()
+        assert "relay-1: roster" in line and "3 gateways" in line
+        while '"ready": true' not in (shown := await asyncio.to_thread(command, "show", here)).stdout:
+            await asyncio.sleep(0.02)
+        state = json.loads(shown.stdout)
+        assert (state["name"], state["hosts"], state["roster"] in line) == ("relay-1", 1, True)
+        roster.write_bytes(ROSTER.replace(b"g2", b"g3"))
+        process.send_signal(signal.SIGHUP)
+        assert "3 gateways" in (await process.stderr.readline()).decode()
+        process.send_signal(signal.SIGTERM)
+        rest = await process.stderr.read()
+        assert await process.wait() == 0 and b"relay ends" in rest and b"Traceback" not in rest
+        gone = await asyncio.to_thread(command, "show", here)
+        assert gone.returncode == 1 and here in gone.stderr
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        registry.close()
+        held.close()
