Relay: long lists are taken in by steps, wholes begin in turn

Cause: a whole list of 38,000 hosts stopped the loop for 2.1 s, a zone back for 0.4 s, 400 first calls at once for 0.3 s; a gateway leaves a relay that is silent for 0.3 s beyond its hold. Change: bodies above 32 KiB are decoded, read and applied by steps of 32 entries; wholes always go through the queue.

--- a/cloverkeel/relay/server.py
+++ b/cloverkeel/relay/server.py
@@ -13,9 +13,10 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Generator, Iterable
 from dataclasses import asdict
 from typing import Any, Final, cast
 
@@ -29,6 +30,7 @@
 from cloverkeel.relay.feed import Feed, Topic
 from cloverkeel.relay.roster import Roster
 from cloverkeel.relay.source import Source
+from cloverkeel.relay.taking import take_in
 
 TICK_S: Final = 0.02  # changes that come within it are told as one: a zone lost is one pass
 SLICE_S: Final = 0.005  # of work before others get their turn
@@ -289,10 +291,9 @@
 
     # Wholes, in turn
 
-    def on_whole(self, caller: Caller, ask: Ask, answer: Answer | None = None) -> None:
-        if not self.queue and self.may_go():
-            self.go(caller, ask, answer)
-        elif len(self.queue) < self.limits.wholes_per_s * WAIT_S:
+    def on_whole(self, caller: Caller, ask: Ask) -> None:
+        # A burst of wholes goes at once, and as many wait as go out within WAIT_S.
+        if len(self.queue) < self.limits.wholes_per_s * WAIT_S + max(0.0, self.meter.tokens):
             self.queue.append((self.loop.time() + WAIT_S, caller, ask))
             self.serve_later()
         else:
@@ -301,8 +302,8 @@
     def may_go(self) -> bool:
         return self.unsent <= self.limits.unsent_mb << 20 and not self.meter.wait_s(self.loop.time())
 
-    def go(self, caller: Caller, ask: Ask, answer: Answer | None = None) -> None:
-        answer = answer or self.feed.answer(ask.asker, None)
+    def go(self, caller: Caller, ask: Ask) -> None:
+        answer = self.feed.answer(ask.asker, None)
         assert answer is not None  # who has nothing lacks the whole
         self.counts["wholes"] += 1
         self.meter.went(self.send(caller, answer))
@@ -354,7 +355,7 @@
     def tell_news(self, caller: Caller, ask: Ask, answer: Answer) -> None:
         if answer.whole:  # what it has is of another relay, or of too long ago
             caller.end_wait()
-            self.on_whole(caller, ask, answer)
+            self.on_whole(caller, ask)
         else:
             self.counts["changes"] += 1
             self.send(caller, answer)
@@ -379,6 +380,15 @@
         self.on_news(topics)
         return True
 
+    def hear_long(self, whole: bool, items: list[Any]) -> Generator[None, None, bool]:
+        topics = yield from take_in(self.feed, whole, items)
+        if topics is None:
+            return False
+        if whole:
+            gc.freeze()  # 38,000 hosts are looked through for cycles in some 70 ms, and have none
+        self.on_news(topics)
+        return True
+
     def set_roster(self, roster: Roster) -> None:
         self.feed.set_roster(roster)
         for caller in self.callers:
--- a/cloverkeel/relay/source.py
+++ b/cloverkeel/relay/source.py
@@ -4,6 +4,8 @@
 - at `confirmed_us` or later discovery had just what is held: it is when the call was made whose answer said so. So an
   answer that was long on its way, or waited in the kernel while this process stood still, is no younger than it is;
 - an answer that cannot be read changes nothing: what is held stays, its age grows, and the whole list is asked for;
+- a long list is taken in by steps, and discovery is not asked meanwhile; of one that is not taken to its end all is
+  asked for anew, and its age is not told before;
 - after a gap of this process discovery is asked anew at once, on another connection.
 """
 
@@ -11,6 +13,7 @@
 
 import asyncio
 import json
+from collections.abc import Generator
 from typing import Any, Final, Protocol
 
 from cloverkeel.core.clock import now_us
@@ -18,10 +21,13 @@
 from cloverkeel.core.log import log
 from cloverkeel.membership.registry import Caller
 from cloverkeel.membership.watch import LATE_S, LIST, Query, Watch
+from cloverkeel.relay.taking import decode
 
 BEAT_S: Final = 0.05  # between two looks at the clock
 GAP_US: Final = 1_000_000  # between looks: more, and discovery is asked anew, on another connection
 HELD_S: Final = 0.25  # of a call for news: an age is up to twice that. 4 calls a second of each relay
+SHORT: Final = 32 << 10  # bytes: an answer of no more is taken in at one go, some 150 entries
+SLICE_S: Final = 0.005  # of taking in a longer one, before others get their turn
 LOG_MOST: Final = 200  # letters of what could not be read
 
 
@@ -31,6 +37,9 @@
     def hear(self, whole: bool, items: list[Any]) -> bool:
         """Whether it could be used; if not, nothing has changed."""
 
+    def hear_long(self, whole: bool, items: list[Any]) -> Generator[None, None, bool]:
+        """The same, by steps."""
+
 
 class SourceWatch(Watch):
     """As a gateway's, but each call is held for a shorter time."""
@@ -51,6 +60,7 @@
         self.taker = taker
         self.asked_us = 0  # when the call that is out was made
         self.asked_whole = True  # what it asks for
+        self.long = b""  # an answer that is to be taken in by steps
         self.confirmed_us: int | None = None  # discovery had just this then, or later; None: nothing was heard
         self.looked_us = now_us()
         self.index_of_discovery: int | None = None
@@ -96,25 +106,58 @@
         return query.target
 
     def take(self, body: bytes) -> bool:
+        if len(body) > SHORT:
+            self.long = body
+            return True
+        steps = self.hear(body)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as stop:
+                return bool(stop.value)
+
+    async def _ask_once(self) -> None:
+        await super()._ask_once()
+        if self.long:
+            body, self.long = self.long, b""
+            steps, loop = self.hear(body), asyncio.get_running_loop()
+            end_s = loop.time() + SLICE_S
+            try:
+                for _ in steps:
+                    if loop.time() > end_s:
+                        await asyncio.sleep(0)
+                        end_s = loop.time() + SLICE_S
+            finally:
+                steps.close()
+
+    def hear(self, body: bytes) -> Generator[None, None, bool]:
+        """Take an answer in; returns whether it had any entry. ValueError: it cannot be used, and is counted."""
+        is_over = False
         try:
-            raw = json.loads(body)
+            raw = json.loads(body) if len(body) <= SHORT else (yield from decode(body))
             index, whole, entries = raw["index"], raw.get("snapshot", False), raw.get("endpoints", [])
             if not isinstance(index, int) or not isinstance(whole, bool) or not isinstance(entries, list):
                 raise ValueError("not a list of hosts")
             if self.asked_whole and not whole:
                 raise ValueError("expected the whole list, found changes")
             usable = self.plan.on_answer(asyncio.get_running_loop().time(), index, whole)
-            if usable and not self.taker.hear(whole, entries):
-                raise ValueError("too few of its entries are hosts")
+            if usable:
+                if len(body) <= SHORT:
+                    fit = self.taker.hear(whole, entries)
+                else:
+                    fit = yield from self.taker.hear_long(whole, entries)
+                if not fit:
+                    raise ValueError("too few of its entries are hosts")
+                self.index_of_discovery, self.confirmed_us = index, self.asked_us
+            is_over = True
+            return bool(entries)
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             self.rubbish += 1
             self.last_wrong = f"{type(error).__name__}: {error}"[:LOG_MOST]
-            self.plan.ask_whole()  # what is held may lack what this would have told
             raise ValueError(f"an answer cannot be used ({self.last_wrong}); what is held stays") from None
-        if usable:
-            self.index_of_discovery = index
-            self.confirmed_us = self.asked_us
-        return bool(entries)
+        finally:
+            if not is_over:
+                self.plan.ask_whole()  # what is held may lack what this would have told
 
     def failed(self) -> None:
         self.failures += 1
--- /dev/null
+++ b/cloverkeel/relay/taking.py
@@ -0,0 +1,104 @@
+"""A long list of discovery's taken in by steps, so that callers get their turn between them. Pure: no I/O, no clock.
+
+Invariants:
+- nothing of the feed is changed before the list was read to its end and found fit: rubbish leaves all as it is;
+- after the last step the feed is as after `Feed.take` of the same list; in between it has some of the changes, what
+  restricts first, the rest service by service. Whoever stops early must ask for the whole list.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Generator
+from typing import Any, Final
+
+from cloverkeel.relay.feed import MOST_HOSTS, USABLE, Feed, Topic
+from cloverkeel.relay.subset import Host
+
+STEP: Final = 32  # entries: some 2 ms each on a busy machine
+_SPACE: Final = re.compile(r"[ \t\n\r]*")
+_scan: Final = json.JSONDecoder().raw_decode
+
+
+def decode(body: bytes) -> Generator[None, None, dict[str, Any]]:
+    """As json.loads of an object, but with a step after some entries of its `endpoints`. ValueError: it is none."""
+    text = body.decode()
+    made: dict[str, Any] = {}
+    at = _past(text, _skip(text, 0), "{")
+    if text[at : at + 1] == "}":
+        return made
+    while True:
+        key, at = _scan(text, at)
+        if not isinstance(key, str):
+            raise ValueError("expected a key")
+        at = _past(text, _skip(text, at), ":")
+        if key == "endpoints" and text[at : at + 1] == "[":
+            items: list[Any] = []
+            made[key] = items
+            at = _past(text, at, "[")
+            while text[at : at + 1] != "]":
+                item, at = _scan(text, at)
+                items.append(item)
+                at = _skip(text, at)
+                if text[at : at + 1] != "]":
+                    at = _past(text, at, ",")
+                if len(items) % STEP == 0:
+                    yield
+            at += 1
+        else:
+            made[key], at = _scan(text, at)
+        at = _skip(text, at)
+        if text[at : at + 1] == "}":
+            break
+        at = _past(text, at, ",")
+    if _skip(text, at + 1) != len(text):
+        raise ValueError("something comes after the list")
+    return made
+
+
+def _skip(text: str, at: int) -> int:
+    space = _SPACE.match(text, at)
+    return space.end() if space is not None else at
+
+
+def _past(text: str, at: int, mark: str) -> int:
+    if text[at : at + 1] != mark:
+        raise ValueError(f"expected {mark} at {at}, found {text[at : at + 20]!r}")
+    return _skip(text, at + 1)
+
+
+def take_in(feed: Feed, whole: bool, items: list[Any]) -> Generator[None, None, frozenset[Topic] | None]:
+    """Returns whose waiting it ends, as Feed.take; None: it is rubbish."""
+    found: dict[str, Host | None] = {}
+    skipped = 0
+    for begin in range(0, len(items), STEP):
+        some, unfit = feed.read(items[begin : begin + STEP], whole)
+        found.update(some)
+        skipped += unfit
+        yield
+    feed.counts.skipped += skipped
+    is_rubbish = whole and len(items) - skipped < USABLE * len(items)
+    if is_rubbish or len(found) > MOST_HOSTS or (not whole and not feed.ready):
+        feed.counts.rubbish_lists += 1
+        return None
+    if whole:
+        feed.counts.lists += 1
+        found.update({name: None for name in feed.hosts if name not in found})
+    yield
+    changes = [(name, host) for name, host in found.items() if feed.hosts.get(name) is not host]
+    yield
+    changes.sort(key=lambda change: _order(feed, *change))
+    yield
+    topics: set[Topic] = set()
+    for begin in range(0, len(changes), STEP):
+        topics |= feed.apply(changes[begin : begin + STEP])
+        yield
+    feed.ready = True
+    return frozenset(topics)
+
+
+def _order(feed: Feed, name: str, host: Host | None) -> tuple[bool, str]:
+    """What restricts first; hosts of one service side by side, as each service touched is worked out anew."""
+    held = host or feed.hosts.get(name)
+    return host is not None and host.serves, held.service if held is not None else ""
