--- a/cloverkeel/relay/source.py
+++ b/cloverkeel/relay/source.py
@@ -61,6 +61,7 @@
         self.asked_us = 0  # when the call that is out was made
         self.asked_whole = True  # what it asks for
         self.long = b""  # an answer that is to be taken in by steps
+        self.taking = False  # one is being so
         self.confirmed_us: int | None = None  # discovery had just this then, or later; None: nothing was heard
         self.looked_us = now_us()
         self.index_of_discovery: int | None = None
@@ -122,6 +123,7 @@
             body, self.long = self.long, b""
             steps, loop = self.hear(body), asyncio.get_running_loop()
             end_s = loop.time() + SLICE_S
+            self.taking = True
             try:
                 for _ in steps:
                     if loop.time() > end_s:
@@ -129,6 +131,7 @@
                         end_s = loop.time() + SLICE_S
             finally:
                 steps.close()
+                self.taking = False
 
     def hear(self, body: bytes) -> Generator[None, None, bool]:
         """Take an answer in; returns whether it had any entry. ValueError: it cannot be used, and is counted."""
--- a/cloverkeel/relay/taking.py
+++ b/cloverkeel/relay/taking.py
@@ -26,9 +26,9 @@
     text = body.decode()
     made: dict[str, Any] = {}
     at = _past(text, _skip(text, 0), "{")
-    if text[at : at + 1] == "}":
-        return made
-    while True:
+    while text[at : at + 1] != "}":
+        if made:
+            at = _past(text, at, ",")
         key, at = _scan(text, at)
         if not isinstance(key, str):
             raise ValueError("expected a key")
@@ -38,20 +38,17 @@
             made[key] = items
             at = _past(text, at, "[")
             while text[at : at + 1] != "]":
+                if items:
+                    at = _past(text, at, ",")
                 item, at = _scan(text, at)
                 items.append(item)
                 at = _skip(text, at)
-                if text[at : at + 1] != "]":
-                    at = _past(text, at, ",")
                 if len(items) % STEP == 0:
                     yield
             at += 1
         else:
             made[key], at = _scan(text, at)
         at = _skip(text, at)
-        if text[at : at + 1] == "}":
-            break
-        at = _past(text, at, ",")
     if _skip(text, at + 1) != len(text):
         raise ValueError("something comes after the list")
     return made
@@ -79,7 +76,8 @@
         yield
     feed.counts.skipped += skipped
     is_rubbish = whole and len(items) - skipped < USABLE * len(items)
-    if is_rubbish or len(found) > MOST_HOSTS or (not whole and not feed.ready):
+    is_long = len(found if whole else feed.hosts.keys() | found.keys()) > MOST_HOSTS
+    if is_rubbish or is_long or (not whole and not feed.ready):
         feed.counts.rubbish_lists += 1
         return None
     if whole:
