--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -192,6 +192,20 @@
         assert one.server.counts["passes"] == passed + 1 and one.server.counts["changes"] == 1
 
 
+@on_loop
+async def test_a_wait_that_ends_just_after_a_change_was_heard_tells_it() -> None:
+    async with desk() as one:
+        client = await one.client()
+        held = await one.listed("gateway=g0", client)
+        wait = asyncio.create_task(one.listed(f"gateway=g0&from={held['index']}{HOLD}", client))
+        await until(lambda: any(caller.ask for caller in one.server.callers))
+        (caller,) = (caller for caller in one.server.callers if caller.ask is not None)
+        assert caller.ask is not None
+        one.server.hear(False, [{"name": "s-0", "status": "DELETED", "address": "127.0.0.1:1", "service": "s"}])
+        one.server.end_hold(caller, caller.ask)  # before the tick is over
+        assert names(await wait) == {"s-0": "DELETED"}
+
+
 @on_loop
 async def test_versions_of_another_relay_mean_nothing_here() -> None:
     async with desk() as one, desk() as two:
@@ -375,6 +389,8 @@
             listed = await one.listed("gateway=g0")
             assert set(names(listed)) == {"s-0", "s-1"} and listed["age_ms"] > 1_000
             state = await one.state()
+            if state["discovery_rubbish"]:  # what it should have told is not known: all is asked for
+                assert "from=" not in discovery.seen[-1].message.first
             assert state["ready"] is False and (state["discovery_rubbish"] or state["discovery_failures"])
             answers.append(whole(1, "s-1", "s-2"))  # it begins anew
             await until(lambda: server.is_ready)
@@ -484,7 +500,9 @@
             await until(lambda: 1 < len(server.feed.hosts) < 3_000)
             assert server.source.index_of_discovery == 5
             server.source.begin(watches=True)
+            asked = len(discovery.seen)
             await until(lambda: server.source.index_of_discovery == 6)
+            assert "from=" not in discovery.seen[asked].message.first
             assert len(server.feed.hosts) == 3_000
 
 
