Guards: seven rows for the relays' pure files

Need: each guard has its row, and a scripted test that fails without it. Measured: each of the seven taken out by itself; its test fails, all pass with it in place.

--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1487,6 +1487,67 @@
     swap(Presence, "stood_still", lambda self, now_us, stood_us: None)
 
 
+# Relays
+
+
+@entry("relay-even-places")
+def _() -> None:
+    """A gateway's window begins at a hash of its own, not evenly spaced by its rank."""
+    from cloverkeel.relay.subset import Ring
+
+    cut(Ring, "window", ("start(count, gateways, group.place(gateway))", "stable_id(gateway, 8) % count"))
+
+
+@entry("relay-drains")
+def _() -> None:
+    """A host that drains is told as gone."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "answer_delta", ("if now is None or now.serves or", "if True or"))
+
+
+@entry("relay-index")
+def _() -> None:
+    """Changes are told from the gateway's last answer, whichever `from` names."""
+    from cloverkeel.relay.feed import Feed
+
+    held = "views.get(since) if since is not None else None"
+    cut(Feed, "answer", (held, "views[max(views)] if views and since is not None else None"))
+
+
+@entry("relay-restricts-first")
+def _() -> None:
+    """What serves is said before what restricts."""
+    from cloverkeel.relay.feed import Feed
+
+    ordered = "(*sorted(deleted), *sorted(drains), *sorted(came.items()))"
+    cut(Feed, "answer_delta", (ordered, "(*sorted(came.items()), *sorted(drains), *sorted(deleted))"))
+
+
+@entry("relay-not-ready")
+def _() -> None:
+    """A relay that has no list says that nobody serves."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "answer", ("raise NotReady", "pass"))
+
+
+@entry("relay-spill")
+def _() -> None:
+    """A region's gateways have its own hosts only, however few."""
+    from cloverkeel.relay.subset import Service
+
+    cut(Service, "shape", ("< self.sizes.serving:", "< 0:"))
+
+
+@entry("relay-rubbish")
+def _() -> None:
+    """A whole list that is mostly rubbish is taken."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "take", ("(len(items) - skipped) < USABLE * len(items) or ", ""))
+
+
 def take_out(names: Sequence[str]) -> None:
     """Take these guards out of this process; ValueError where one is not known."""
     unknown = [name for name in names if name not in GUARDS]
