--- a/cloverkeel/membership/relays.py
+++ b/cloverkeel/membership/relays.py
@@ -138,7 +138,7 @@
         self.since_s = -inf  # when this one was chosen
         self.may_leave_s = -inf  # who answers is not left before
         self.may_look_s = -inf  # a stale one is not left before for one of which nothing is known
-        self.wish: Relay | None = None  # the freshest of the stale, if that is to be the next
+        self.wish: Relay | None = None  # who is to be the next in the place of a stale one
         self.leaving_s: float | None = None  # a stale one is left then, to spread
         self.stale_moves = 0  # in a row
 
@@ -197,7 +197,8 @@
     def _leaves_stale(self, relay: Relay, now_s: float, chance: float) -> bool:
         freshest = max(self.order, key=lambda other: other.as_of_s)
         is_known = freshest.as_of_s > relay.as_of_s + FRESHER_S
-        if not is_known and not any(other.rests_until_s <= now_s for other in self.order if other is not relay):
+        rested = [other for other in self.order if other is not relay and other.rests_until_s <= now_s]
+        if not is_known and not rested:
             self.leaving_s = None
             return False
         if self.leaving_s is None:
@@ -209,6 +210,7 @@
         if is_known:
             self.wish = freshest
         else:
+            self.wish = min(rested, key=lambda other: other.left_s)  # it was looked at longest ago, or never
             pause_s = min(VOLUNTARY_S * float(2 ** min(self.stale_moves, 8)), LOOK_MOST_S)
             self.stale_moves += 1
             self.may_look_s = now_s + pause_s * (1.0 + 0.5 * chance)
