Relays, the gateway's side: services are bounded by bytes, as a relay reads them; a newer word replaces one that waits

Need: a relay reads 64 KiB of a call and 256 bytes of a name; 128 letters may be four times that in UTF-8, and every call of such a gateway would be refused. The words replaced while they wait had no test that failed without it.

--- a/cloverkeel/core/options.py
+++ b/cloverkeel/core/options.py
@@ -14,8 +14,9 @@
 
 SOURCES = ("ephemeral", "registry")
 RELAYS_MOST = 64  # a gateway keeps a line on each, and tries all before it has gone round
-SERVICES_MOST = 256  # they are named in each call, which a relay reads up to 8 KiB of
-SERVICE_LETTERS_MOST = 128
+SERVICES_MOST = 256  # they are named in each call, of which a relay reads 64 KiB, three letters a byte at the most
+SERVICE_MOST = 128  # bytes of one name in UTF-8
+SERVICES_BYTES_MOST = 16 << 10  # of all names
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,12 +114,13 @@
     if (
         not isinstance(services, list)
         or len(services) > SERVICES_MOST
-        or not all(isinstance(s, str) and 0 < len(s) <= SERVICE_LETTERS_MOST and "," not in s for s in services)
+        or not all(isinstance(s, str) and 0 < len(s.encode()) <= SERVICE_MOST and "," not in s for s in services)
         or len(set(services)) != len(services)
+        or sum(len(s.encode()) for s in services) > SERVICES_BYTES_MOST
     ):
         raise ConfigError(
             f"{where}: services: expected a list of at most {SERVICES_MOST} different names of 1 to "
-            f"{SERVICE_LETTERS_MOST} letters without a comma, found {services!r}"
+            f"{SERVICE_MOST} bytes without a comma, {SERVICES_BYTES_MOST} in all, found {str(services)[:200]}"
         )
     return Relays(addresses, tuple(services), _whole(table, "direct_per_s", 10, 1, 10_000, where))
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -203,6 +203,20 @@
         assert len(belief.ends) <= HOSTS and len(belief.waiting) <= HOSTS
 
 
+def test_what_waits_is_replaced_by_a_newer_word_however_old_that_is() -> None:
+    def listed(*statuses: ServerStatus) -> list[Entry]:
+        return [Entry(f"s-{n}", ("h", 1), ListedServer(n, status)) for n, status in enumerate(statuses)]
+
+    belief = Belief()
+    belief.take(9.0, 9.0, 0.0, True, listed(ServerStatus.READY, ServerStatus.READY))
+    belief.take(10.0, 9.8, 0.0, False, listed(ServerStatus.GONE))
+    belief.take(10.3, 10.2, 1.0, True, listed(ServerStatus.READY, ServerStatus.READY))
+    assert list(belief.waiting) == [0]
+    belief.take(14.0, 13.8, STALE_S + 1.0, False, listed(ServerStatus.DRAINING))
+    _, told, _ = belief.take(15.0, 14.8, 0.0, False, [])
+    assert not told and list(belief.held) == [1]
+
+
 def test_what_was_restricted_long_ago_is_not_kept() -> None:
     belief = Belief()
     for n in range(100):
@@ -446,6 +460,8 @@
         ({"addresses": ["h:1", "h:1"]}, "relays: addresses: expected a list of 1 to 64 different"),
         ({"addresses": ["h:1"], "services": "s"}, "relays: services: expected a list of at most 256 different names"),
         ({"addresses": ["h:1"], "services": ["a,b"]}, "relays: services: expected a list of at most 256"),
+        ({"addresses": ["h:1"], "services": ["é" * 65]}, "relays: services: expected a list of at most 256"),
+        ({"addresses": ["h:1"], "services": [f"{n:0128}" for n in range(129)]}, "relays: services: expected"),
         ({"addresses": ["h:1"], "direct_per_s": 0}, "relays: direct_per_s: expected a whole number from 1 to 10000"),
         ({"addresses": ["h:1"], "x": 0}, "relays: x: unknown; expected one of addresses, services, direct_per_s"),
     ],
