--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -155,8 +155,8 @@
 def test_a_changed_figure_is_found(name: str, budget: str, tmp_path: Path) -> None:
     raw = json.loads(SLOPES.read_text())
     (row,) = [row for row in raw["rows"] if row["name"] == name]
-    row["coefficients"] = [1.5 * each for each in row["coefficients"]]
-    row["points"][-1][1] *= 1.5
+    row["coefficients"] = [1.5 * each + 1 for each in row["coefficients"]]  # another figure also where it was 0
+    row["points"][-1][1] = 1.5 * row["points"][-1][1] + 1
     (tmp_path / SLOPES.name).write_text(json.dumps(raw))
     changed, now = page_of(tmp_path).tables(), current().tables()
     assert changed["slopes"]() != now["slopes"]()
