--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1548,6 +1548,87 @@
     cut(Feed, "take", ("(len(items) - skipped) < USABLE * len(items) or ", ""))
 
 
+@entry("relay-move-anew")
+def _() -> None:
+    """A gateway that moves asks the next relay for changes after what another told."""
+    from cloverkeel.membership.relayed import RelayedDiscovery
+
+    cut(RelayedDiscovery, "_turn", ("self.plan.begin_anew()", "pass"))
+
+
+@entry("relay-names")
+def _() -> None:
+    """A gateway behind relays does not say who it is."""
+    from cloverkeel.membership import relayed
+
+    swap(relayed, "named", lambda target, gateway, services, wide: target)
+
+
+@entry("relay-old-permits")
+def _() -> None:
+    """Whatever a relay permits is believed, though it may not have heard of a drain that is known."""
+    from cloverkeel.membership.relays import Belief
+
+    cut(Belief, "_permitted", ("read_s > as_of_s and run != self.run and", "False and"))
+
+
+@entry("relay-stale-permits")
+def _() -> None:
+    """What a stale relay says is taken as any other's."""
+    from cloverkeel.membership.relays import Belief
+
+    cut(Belief, "take", ("if self.held and age_s > STALE_S:", "if False:"))
+
+
+@entry("relay-wide")
+def _() -> None:
+    """A subset whose hosts fail stays as it is."""
+    from cloverkeel.membership.relays import Width
+
+    swap(Width, "step", lambda self, now_s, failing, serving: 0)
+
+
+@entry("relay-metered")
+def _() -> None:
+    """A relay serves all wholes at once."""
+    from cloverkeel.relay.server import Server
+
+    cut(Server, "on_whole", ("if len(self.queue) < ", "if True or len(self.queue) < "))
+
+
+@entry("relay-age")
+def _() -> None:
+    """A relay's list counts as of the moment in which its answer was read."""
+    from cloverkeel.relay.source import Source
+
+    cut(Source, "hear", ("self.index_of_discovery, self.confirmed_us = index, self.asked_us",
+                         "self.index_of_discovery, self.confirmed_us = index, now_us()"))
+
+
+@entry("list-parts")
+def _() -> None:
+    """A long list is told in one piece."""
+    from cloverkeel.core import slices
+
+    swap(slices, "AT_ONCE", 10**9)
+
+
+@entry("list-parts-restrict")
+def _() -> None:
+    """What restricts waits with the rest of a long list."""
+    from cloverkeel.core.slices import Slices
+
+    cut(Slices, "take", ("entry.listed.status is not ServerStatus.READY or is_another(entry)", "False"))
+
+
+@entry("cold-told-users")
+def _() -> None:
+    """How many know a cold server is taken from the list's length alone, whatever is told."""
+    from caperdrift.balance import Balancer
+
+    cut(Balancer, "fall_budget_us", ("users = float(told or users)", "pass"))
+
+
 def take_out(names: Sequence[str]) -> None:
     """Take these guards out of this process; ValueError where one is not known."""
     unknown = [name for name in names if name not in GUARDS]
