The test of the mean weight sets weights by the controller, not behind its back

It wrote them into the servers, and the mean is now made of a sum that the controller keeps. Tests that a newcomer gets the mean of two servers that were cut three times and once, to 1e-12.

--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from tests.helpers import Driver, sends, trip
 from caperdrift.interface import ListedServer, ListKind, Outcome, RequestGone
 from caperdrift.balance import (
@@ -155,10 +157,11 @@
 
 def test_a_newcomer_starts_at_the_mean_weight() -> None:
     driver = Driver(servers=2)
-    driver.balancer.servers[0].weight = 0.2
-    driver.balancer.servers[1].weight = 0.6
+    for server, cuts in ((0, 3), (1, 1)):  # by the controller: it keeps the sum that the mean is made of
+        for _ in range(cuts):
+            driver.balancer.adjust_weight(driver.balancer.servers[server], bad=True)
     driver.list_servers(ListedServer(9), kind=ListKind.DELTA)
-    assert driver.balancer.servers[9].weight == 0.4
+    assert driver.balancer.servers[9].weight == pytest.approx((CUT**3 + CUT) / 2, rel=1e-12)
 
 
 def test_a_closed_again_server_regains_its_weight() -> None:
