--- a/cloverkeel/core/freezing.py
+++ b/cloverkeel/core/freezing.py
@@ -4,6 +4,8 @@
 any. So it does again whenever lists have brought FREEZE_AFTER entries: a pass first, over what came since the last
 time only (a millisecond or so), so that nothing that is garbage is frozen; then what is left is frozen.
 
+It is told of a list when all parts of it are told: each pass in between would go over what still waits.
+
 Invariants:
 - no object that a list has brought is looked at by more than one full pass that this one begins;
 - what is frozen is freed all the same when nobody refers to it: hosts that leave are no cycles. What would leak is a
--- a/cloverkeel/core/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -97,7 +97,9 @@
         self.slices = Slices()
         self.part_due = False  # this turn's part is yet to be handled
         self.turn: asyncio.Handle | None = None
-        self.on_told: Callable[[int], None] | None = None  # the module was told so many entries
+        # Lists are told to their ends: how many entries since the last call.
+        self.on_told: Callable[[int], None] | None = None
+        self.fresh = 0
         self.urgent: deque[Happened] = deque()
         self.events: deque[tuple[Happened, Held | None]] = deque()
         self.handling = False
@@ -357,8 +359,10 @@
         return self.pools.is_another(entry.listed.server, entry.address, entry.listed.started_us)
 
     def tell(self, kind: ListKind, entries: list[Entry], gone: tuple[ListedServer, ...] = ()) -> Event:
-        if self.on_told is not None:
-            self.on_told(len(entries))
+        self.fresh += len(entries)
+        if self.on_told is not None and not self.slices.waiting:
+            self.on_told(self.fresh)
+            self.fresh = 0
         for entry in entries:
             listed = entry.listed
             if listed.status is ServerStatus.GONE:
