--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1626,7 +1626,7 @@
     """How many know a cold server is taken from the list's length alone, whatever is told."""
     from caperdrift.balance import Balancer
 
-    cut(Balancer, "fall_budget_us", ("users = float(told or users)", "pass"))
+    cut(Balancer, "fall_budget_us", ("float(told or users)", "float(users)"))
 
 
 def take_out(names: Sequence[str]) -> None:
