--- a/cloverkeel/relay/taking.py
+++ b/cloverkeel/relay/taking.py
@@ -67,30 +67,34 @@
 
 def take_in(feed: Feed, whole: bool, items: list[Any]) -> Generator[None, None, frozenset[Topic] | None]:
     """Returns whose waiting it ends, as Feed.take; None: it is rubbish."""
-    found: dict[str, Host | None] = {}
+    told: set[str] = set()  # names
+    changes: dict[str, Host | None] = {}
     skipped = 0
     for begin in range(0, len(items), STEP):
         some, unfit = feed.read(items[begin : begin + STEP], whole)
-        found.update(some)
         skipped += unfit
+        told.update(some)
+        for name, host in some.items():
+            if feed.hosts.get(name) is not host:
+                changes[name] = host
+            else:
+                changes.pop(name, None)  # said twice: the last word counts
         yield
     feed.counts.skipped += skipped
     is_rubbish = whole and len(items) - skipped < USABLE * len(items)
-    is_long = len(found if whole else feed.hosts.keys() | found.keys()) > MOST_HOSTS
+    is_long = len(told if whole else feed.hosts.keys() | changes.keys()) > MOST_HOSTS
     if is_rubbish or is_long or (not whole and not feed.ready):
         feed.counts.rubbish_lists += 1
         return None
     if whole:
         feed.counts.lists += 1
-        found.update({name: None for name in feed.hosts if name not in found})
+        changes.update(dict.fromkeys(feed.hosts.keys() - told))
     yield
-    changes = [(name, host) for name, host in found.items() if feed.hosts.get(name) is not host]
-    yield
-    changes.sort(key=lambda change: _order(feed, *change))
+    ordered = sorted(changes.items(), key=lambda change: _order(feed, *change))
     yield
     topics: set[Topic] = set()
-    for begin in range(0, len(changes), STEP):
-        topics |= feed.apply(changes[begin : begin + STEP])
+    for begin in range(0, len(ordered), STEP):
+        topics |= feed.apply(ordered[begin : begin + STEP])
         yield
     feed.ready = True
     return frozenset(topics)
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -402,6 +402,19 @@
             assert names(told) == {"s-0": "DELETED", "s-2": "SERVING"}
 
 
+@on_loop
+async def test_changes_where_all_was_asked_for_are_no_list() -> None:
+    async with scripted() as (answers, discovery):
+        answers.append(list_reply(5, snapshot=False))
+        async with relay(discovery.address) as server:
+            one = Desk(Registry(Ledger()), server)
+            await until(lambda: len(discovery.seen) > 2)
+            assert not any("from=" in exchange.message.first for exchange in discovery.seen)
+            assert (await one.get("/registry/instances?gateway=g0")).status == 503
+            answers.append(whole(5, "s-0"))
+            await one.has(1)
+
+
 @on_loop
 async def test_an_answer_that_waited_while_the_process_stood_still_is_as_old_as_it_is() -> None:
     async with desk() as one:
