Scale run: hollow gateways beside real ones, judged from outside

Change: benchmarks.capacity.run. Hollow gateways are the program's own rooms with the front never opened; discovery's stand-in, hosts, clients and real gateways beside them; steps quiet, hour, hour10, all, drain, rack, zone, wave. Sizes are cut to the memory they may use; memory and time end the run. A hollow one is compared with a real one by the same counters.

--- /dev/null
+++ b/benchmarks/capacity/run_load.py
@@ -0,0 +1,281 @@
+"""What the real gateways of a scale run stand between: clients, hosts, and counters before whom they ask for lists.
+
+All in one process and by one clock. A listener stands for a rack of hosts; what reaches it after its rack has left is
+seen, as it goes on answering. What the gateways add is the client's time less the host's own, for each request; a few
+requests go to hosts with no gateway between, and show how much of it is these stand-ins' own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import statistics
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Final
+
+from benchmarks.capacity.plan import PLAN
+from benchmarks.capacity.run_parts import clock_us
+from standins.ledger import Answered, Asked, Entry, Ledger, Process, Run, Unanswered, now_us
+from standins.parties.box import Box, Shelf
+from standins.parties.clients import Clients, Door, Front, Habits
+from standins.parties.fleet import Fleet, Gateway
+from standins.parties.network import Address, Network
+from standins.site import CLASSES, BoxKind, Rules
+
+HINT: Final = 0.02  # of the class's work: a host computes for about a millisecond, and waits on others as it does
+KIND: Final = BoxKind(cores=64, queue=4_000, connections=4_000, cold_share=1.0, handshake_us=0, report_us=8_000_000)
+SOCKETS: Final = 4_096  # descriptors of a real gateway
+DIRECT_PER_S: Final = 40.0  # requests without a gateway
+READ: Final = 64 * 1024
+KEPT: Final = (Asked, Answered, Unanswered, Run, Process)
+TOLD_US: Final = 6_000_000  # a change counts as told by then, whatever fails (the terms in force)
+GRACE_US: Final = 1_000_000  # after that, nothing new to a host that leaves
+_LEDGER_AHEAD_US: Final = now_us() - clock_us()  # of the run's clock
+
+
+class Account(Ledger):
+    """Only what is judged here."""
+
+    def add(self, entry: Entry) -> None:
+        if isinstance(entry, KEPT):
+            super().add(entry)
+
+
+@dataclass(slots=True)
+class Passed:
+    """What went through taps of a kind, both ways, since `begin`."""
+
+    calls: int = 0
+    size: int = 0  # bytes
+    # By connection: when each call came, and the bytes before it on that connection.
+    marks: dict[int, list[tuple[int, int]]] = field(default_factory=dict)
+
+    def begin(self) -> None:
+        self.calls = self.size = 0
+        self.marks.clear()
+
+    def rates(self) -> tuple[float, float]:
+        """Calls and bytes a second on a connection, in the mean: from its first call to its last. 0.0: too few."""
+        calls, sizes = list[float](), list[float]()
+        for marks in self.marks.values():
+            took_s = (marks[-1][0] - marks[0][0]) / 1e6
+            if len(marks) > 1 and took_s > 0:
+                calls.append((len(marks) - 1) / took_s)
+                sizes.append((marks[-1][1] - marks[0][1]) / took_s)
+        return (statistics.mean(calls), statistics.mean(sizes)) if calls else (0.0, 0.0)
+
+
+class Tap:
+    """Passes a gateway's connections on to whom it asks for lists, and counts."""
+
+    def __init__(self, target: Address, passed: Passed) -> None:
+        self.target, self.passed = target, passed
+        self.server: asyncio.Server | None = None
+        self.address: Address = ("127.0.0.1", 0)
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.sizes: dict[int, int] = {}  # by connection: bytes both ways
+
+    async def open(self) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = self.server.sockets[0].getsockname()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        self.sizes[id(task)] = 0
+        far: asyncio.StreamWriter | None = None
+        try:
+            back, far = await asyncio.open_connection(*self.target)
+            both = {
+                asyncio.ensure_future(self.copy(reader, far, id(task), True)),
+                asyncio.ensure_future(self.copy(back, writer, id(task), False)),
+            }
+            try:
+                await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for one in both:
+                    one.cancel()
+                await asyncio.gather(*both, return_exceptions=True)
+        except OSError:
+            pass  # nobody there: the gateway sees its connection end
+        finally:
+            self.tasks.discard(task)
+            self.sizes.pop(id(task), None)
+            writer.transport.abort()
+            if far is not None:
+                far.transport.abort()
+
+    async def copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, connection: int, forward: bool
+    ) -> None:
+        passed = self.passed
+        while data := await reader.read(READ):
+            if forward and data.startswith(b"GET "):
+                passed.calls += 1
+                passed.marks.setdefault(connection, []).append((clock_us(), self.sizes[connection]))
+            passed.size += len(data)
+            self.sizes[connection] += len(data)
+            writer.write(data)
+            await writer.drain()
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for task in self.tasks:
+            task.cancel()
+
+
+@dataclass(slots=True)
+class Served:
+    """What clients got in a window. Times in milliseconds; nan: nothing to take it from."""
+
+    asked: int = 0
+    answered: int = 0  # with 200
+    refused: int = 0  # 429, 503: not done, and said so
+    failed: int = 0  # any other status
+    lost: int = 0  # no whole answer
+    added_ms: list[float] = field(default_factory=list)
+    direct_ms: list[float] = field(default_factory=list)
+    late: int = 0  # requests at hosts that had left, past the grace
+    last_send_s: float = 0.0  # the last one to reach a host that leaves, after discovery had the change
+
+    def row(self) -> dict[str, Any]:
+        return {
+            "requests": self.asked, "refused": self.refused, "failed": self.failed, "lost": self.lost,
+            "added_p50_ms": quantile(self.added_ms, 0.5), "added_p99_ms": quantile(self.added_ms, 0.99),
+            "direct_p99_ms": quantile(self.direct_ms, 0.99),
+            "late_sends": self.late, "last_send_s": round(self.last_send_s, 3),
+        }  # fmt: skip
+
+
+def quantile(values: Sequence[float], share: float) -> float | None:
+    """The nearest that was measured; None of nothing."""
+    ordered = sorted(values)
+    return round(ordered[max(0, math.ceil(share * len(ordered)) - 1)], 3) if ordered else None
+
+
+class Load:
+    """Hosts by racks, real gateways, clients."""
+
+    def __init__(self, folder: Path, racks: int, seed: int) -> None:
+        self.folder, self.seed = folder, seed
+        self.ledger = Account()
+        self.network = Network(seed)
+        self.dice = random.Random(f"{seed}/load")
+        shelf = Shelf(0, CLASSES["hold"].window_us)
+        rules = Rules(sockets=SOCKETS)
+        self.boxes = [
+            Box(f"rack-{n}", 0, shelf, self.ledger, self.network, KIND, rules, seed) for n in range(racks)
+        ]
+        self.front, self.straight = Front(seed), Front(seed)
+        habits = Habits(retries=0, leave=0.0, hint=HINT)
+        self.clients = Clients(self.ledger, self.front, seed, 1.0, habits)
+        self.direct = Clients(self.ledger, self.straight, seed + 1, DIRECT_PER_S, habits)
+        self.fleet = Fleet([])
+        self.work: list[asyncio.Task[None]] = []
+        self.open: dict[str, Asked] = {}  # asked, not answered yet
+        self.runs: dict[str, Run] = {}  # at hosts, of those
+        self.leaving: dict[str, int] = {}  # racks that have left or are about to: since when
+        self.used: Counter[str] = Counter()  # racks that were sent to between the last two looks
+        self.served = Served()
+
+    async def start_hosts(self) -> list[int]:
+        """Their ports, by rack."""
+        for box in self.boxes:
+            await box.start(cold=False)
+        for box in self.boxes[:: max(1, len(self.boxes) // 4)]:
+            assert box.address is not None
+            self.straight.admit(Door("direct", 0, box.address))
+        return [box.address[1] for box in self.boxes if box.address is not None]
+
+    async def start_gateways(self, gateways: Sequence[Gateway]) -> None:
+        """RuntimeError where one does not get ready."""
+        self.fleet = Fleet(gateways)
+        for gateway in gateways:
+            gateway.on_ready = lambda one: self.front.admit(Door(one.name, one.room, one.address))
+        self.fleet.start()
+        if not await self.fleet.ready(self.ledger):
+            raise RuntimeError("not every real gateway became ready")
+
+    def ask(self) -> None:
+        """Clients begin, at the plan's rate for a gateway, and go on until `close`."""
+        self.clients.rate = PLAN.requests_per_gateway * len(self.fleet.gateways)
+        self.work = [asyncio.ensure_future(clients.run(86_400.0)) for clients in (self.clients, self.direct)]
+
+    def leave(self, racks: Sequence[int], at_us: int) -> None:
+        """Discovery says from then on that these have left, or drain."""
+        for rack in racks:
+            self.leaving[f"rack-{rack}"] = at_us
+
+    def back(self, racks: Sequence[int]) -> None:
+        for rack in racks:
+            self.leaving.pop(f"rack-{rack}", None)
+
+    def take(self) -> Served:
+        """What was seen since the last call of this."""
+        self.look()
+        made, self.served = self.served, Served()
+        return made
+
+    def look(self) -> None:
+        """Judge what has come. Call it before hosts that have left are back."""
+        entries, self.ledger.entries = self.ledger.entries, []
+        made = self.served
+        used: Counter[str] = Counter()
+        for entry in entries:
+            if isinstance(entry, Asked):
+                self.open[entry.id] = entry
+            elif isinstance(entry, Run):
+                self.runs[entry.id] = entry
+                if self.open.get(entry.id) is None or self.open[entry.id].gateway != "direct":
+                    used[entry.box] += 1
+                    self.judge_send(entry, made)
+            elif isinstance(entry, Answered | Unanswered):
+                self.judge_end(entry, made)
+        self.used = used
+
+    def judge_send(self, run: Run, made: Served) -> None:
+        since_us = self.leaving.get(run.box)
+        if since_us is None:
+            return
+        after_us = run.at_us - _LEDGER_AHEAD_US - since_us
+        made.last_send_s = max(made.last_send_s, after_us / 1e6)
+        made.late += after_us > TOLD_US + GRACE_US
+
+    def judge_end(self, end: Answered | Unanswered, made: Served) -> None:
+        asked, run = self.open.pop(end.id, None), self.runs.pop(end.id, None)
+        if asked is None:
+            return
+        is_direct = asked.gateway == "direct"
+        made.asked += not is_direct
+        if isinstance(end, Unanswered):
+            made.lost += 1
+        elif end.status in (429, 503):
+            made.refused += 1
+        elif end.status != 200:
+            made.failed += 1
+        elif run is not None:
+            made.answered += 1
+            added_ms = (end.at_us - asked.at_us - (run.over_us - run.at_us)) / 1e3
+            (made.direct_ms if is_direct else made.added_ms).append(added_ms)
+
+    async def close(self) -> None:
+        """Clients end first; the gateways are told to, and none is left behind."""
+        for task in self.work:
+            task.cancel()
+        for clients in (self.clients, self.direct):
+            pending = list(clients.tasks)
+            if pending:
+                await asyncio.wait(pending, timeout=2.0)
+            clients.close()
+        await self.fleet.stop()
+        self.fleet.end()
+        for box in self.boxes:
+            if box.server is not None:
+                box.crash("drained")
+        self.network.close()
--- /dev/null
+++ b/tests/test_capacity_run.py
@@ -0,0 +1,176 @@
+"""The scale run, small: it plays its steps between real processes and judges them; and what it rests on.
+
+Beside the run itself: discovery's stand-in for many callers, and the sizes that a run allows itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from rich.console import Console
+
+from benchmarks.capacity import run
+from benchmarks.capacity.plan import fleet
+from benchmarks.capacity.run_sizes import MEMORY_MB, memory_mb, racks, size, subset_hosts
+from standins.ledger import Ledger, Told
+from standins.parties.registry import Bodies, Entry, Registry, View
+
+from tests.sockets import Client, on_loop, until
+
+
+# The whole of it
+
+
+@pytest.mark.timeout(100)
+def test_a_small_run_plays_every_step_and_finds_nothing_amiss(tmp_path: Path) -> None:
+    """It ends with 0 only if each change came to each gateway that should have it, no request was lost, no drain was
+    late, and a hollow gateway cost the others what a real one does."""
+    file = tmp_path / "run.json"
+    assert run.main(["--small", "--json", str(file)]) == 0
+    made = json.loads(file.read_text())
+    assert made["faults"] == [] and made["seconds"] < run.SMALL_S and made["memory_peak_mb"] < 1_000
+    by_size = {
+        gateways: {row["step"]: row for row in made["steps"] if row["gateways"] == gateways}
+        for gateways, _ in run.SMALL_SIZES
+    }
+    for gateways, rows in by_size.items():
+        hollow = gateways - run.REAL
+        assert list(rows) == ["quiet", "hour10", "all", "drain", "rack", "zone", "wave"]
+        assert rows["all"]["reach_all"] and rows["all"]["had"] == 2 * hollow
+        assert rows["zone"]["had"] == 2 * hollow and rows["zone"]["changed_hosts"] > rows["zone"]["hosts"] / 8
+        assert rows["wave"]["started"] == round(0.7 * hollow) == rows["wave"]["had"]
+        assert all(row["requests"] > 20 and row["added_p99_ms"] is not None for row in rows.values())
+        # The same eyes saw both: what is asked for in a second, and a zone's worth of changes.
+        assert abs(rows["quiet"]["calls_to_real"] - 1) < run.WITHIN
+        assert abs(rows["quiet"]["bytes_to_real"] - 1) < run.WITHIN
+        assert abs(rows["zone"]["bytes_to_real"] - 1) < run.WITHIN
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [{"missing": 1}, {"lost": 1}, {"failed": 1}, {"late_sends": 1}, {"calls_to_real": 1.2}, {"bytes_to_real": 0.8}],
+)
+def test_each_thing_that_a_run_may_not_have_is_a_fault(fault: dict[str, float]) -> None:
+    judged = run.Run(run.parse(["--small"]), Console(quiet=True))
+    good: dict[str, Any] = {
+        "gateways": 8, "step": "quiet", "missing": 0, "some": [], "lost": 0, "failed": 0, "late_sends": 0,
+        "calls_to_real": 1.05, "bytes_to_real": 0.95,
+    }  # fmt: skip
+    judged.judge(good)
+    assert not judged.faults
+    judged.judge(good | fault)
+    assert len(judged.faults) == 1
+
+
+@pytest.mark.parametrize(
+    "said", [["--steps", "quiet,tea"], ["--relays", "13"], ["--gateways", "5000"], ["--hosts", "1"]]
+)
+def test_a_call_that_asks_for_what_there_is_not_is_refused(said: list[str]) -> None:
+    with pytest.raises(SystemExit) as error:
+        run.parse(said)
+    assert error.value.code == 2
+
+
+# How large it may be
+
+
+def test_a_size_is_cut_to_the_memory_that_it_may_use() -> None:
+    whole = size(4_600, 38_000, 2, 0, 38_000.0)
+    assert 20 < whole.gateways < 200 and "memory" in whole.bound
+    assert memory_mb(whole.gateways, 38_000, 38_000.0, 2, 0, whole.processes) <= MEMORY_MB
+    few = size(24, 240, 2, 0, 240.0)
+    assert (few.gateways, few.hollow, few.processes) == (24, 22, 1)
+
+
+def test_a_rack_is_of_one_zone_and_none_is_empty() -> None:
+    for hosts in (60, 240, 3_800):
+        made = fleet(24, hosts)
+        zones: dict[int, set[str]] = {}
+        for host, rack in zip(made.hosts, racks(made), strict=True):
+            zones.setdefault(rack, set()).add(host.zone)
+        assert all(len(of) == 1 for of in zones.values()) and sorted(zones) == list(range(len(zones)))
+
+
+def test_a_subset_is_what_the_design_says() -> None:
+    """One service of 240 hosts before 24 gateways, 12 a region: 40 hosts a zone, so that each has 27 of them."""
+    made = fleet(24, 240, services=1)
+    assert subset_hosts(made) == pytest.approx(3 * 27, rel=0.1)
+
+
+# Discovery for many
+
+
+@asynccontextmanager
+async def shared(history: int = 512) -> AsyncIterator[tuple[Registry, View, Bodies]]:
+    registry = Registry(Ledger(), history=history)
+    for n in range(3):
+        registry.put(Entry(f"s-{n}", "a", "m", 0, 0, service="pay" if n else None))
+
+    async def may_pass() -> None:
+        pass
+
+    def address_of(name: str) -> tuple[str, int] | None:
+        return None if name == "s-2" else ("127.0.0.1", 9_000)
+
+    bodies = Bodies(registry, address_of)
+    view = await registry.open("many", address_of, may_pass, bodies)
+    try:
+        yield registry, view, bodies
+    finally:
+        registry.close()
+
+
+async def ask(view: View, query: str = "") -> dict[str, Any]:
+    assert view.address is not None
+    client = Client(*await asyncio.open_connection(*view.address))
+    said = await client.ask(f"GET /registry/instances{query} HTTP/1.1\r\nHost: r\r\n\r\n".encode())
+    client.close()
+    found: dict[str, Any] = json.loads(said.body)
+    return found
+
+
+@on_loop
+async def test_many_callers_are_told_alike_and_only_counted() -> None:
+    async with shared() as (registry, view, bodies):
+        first, second = await ask(view), await ask(view)
+        assert first == second and first["snapshot"] is True
+        assert [e["name"] for e in first["endpoints"]] == ["s-0", "s-1"]  # the third cannot be reached from here
+        assert "service" not in first["endpoints"][0] and first["endpoints"][1]["service"] == "pay"
+        assert bodies.body(None) is bodies.body(None)
+        assert (view.counts.calls, view.counts.wholes) == (2, 2) and view.counts.sent > 400
+        assert not list(registry.ledger.of(Told)) and not view.told
+
+
+@on_loop
+async def test_all_watches_are_woken_by_a_change_and_told_the_newest_of_each() -> None:
+    async with shared() as (registry, view, bodies):
+        watches = [asyncio.create_task(ask(view, "?from=1&hold_ms=20000")) for _ in range(20)]
+        await until(lambda: len(registry.waiting) == 20)
+        one = registry.entries["s-1"]
+        one.weight = 2.0
+        registry.change([(one, "DRAINING"), (registry.entries["s-0"], "DELETED"), (one, "SERVING")])
+        told = await asyncio.gather(*watches)
+        assert all(t == told[0] for t in told) and (told[0]["index"], told[0]["snapshot"]) == (4, False)
+        assert {e["name"]: (e["status"], e["weight"]) for e in told[0]["endpoints"]} == {
+            "s-0": ("DELETED", 1.0), "s-1": ("SERVING", 2.0),
+        }  # fmt: skip
+        assert not registry.waiting
+        whole = await ask(view)
+        assert [(e["name"], e["weight"]) for e in whole["endpoints"]] == [("s-1", 2.0)]
+
+
+@on_loop
+async def test_who_is_further_behind_than_is_kept_gets_the_whole() -> None:
+    async with shared(history=2) as (registry, view, _):
+        one = registry.entries["s-1"]
+        for status in ("DRAINING", "SERVING", "DRAINING"):
+            registry.change([(one, status)])
+        assert (await ask(view, "?from=1"))["snapshot"] is True
+        near = await ask(view, "?from=2")
+        assert near["snapshot"] is False and [e["status"] for e in near["endpoints"]] == ["DRAINING"]
