--- a/benchmarks/capacity/run_world.py
+++ b/benchmarks/capacity/run_world.py
@@ -130,11 +130,10 @@
             relay.start()
         await self.until(lambda: self.all_relays_ready(), "relays are not ready")
         self.spawn(self.ping_relays())
-        targets = {
-            kind: await self.tap(kind, [relay.address for relay in self.relays] or [addresses[kind]])
-            for kind in (REAL, TWIN)
-        }  # fmt: skip
-        targets[HOLLOW] = [relay.address for relay in self.relays] or [addresses[HOLLOW]]
+        # Of each kind: discovery's address, and the relays'. What real ones and twins ask is counted on its way.
+        targets = {HOLLOW: [addresses[HOLLOW], *(relay.address for relay in self.relays)]}
+        for kind in (REAL, TWIN):
+            targets[kind] = await self.tap(kind, [addresses[kind], *(relay.address for relay in self.relays)])
         for number in range(self.size.processes):
             self.halls.append(await Part.start(f"hollow-{number}", "benchmarks.capacity.hollow", self.folder))
         await self.make_hollow(targets)
@@ -144,7 +143,7 @@
         self.load.ask()
 
     def configuration(self, number: int, front: Front, targets: Sequence[Address]) -> dict[str, Any]:
-        """LB_CONFIG of a gateway; with relays it is told of discovery all the same."""
+        """LB_CONFIG of a gateway; with relays it is told of discovery all the same. `targets`: that, then relays."""
         told = settings(self.size.gateways, number, 0, BoxKind(), Rules()) | {"zones": self.zones}
         told["zone"] = self.zones.index(front.zone)
         seed = f"{self.seed}/{front.name}"
@@ -156,8 +155,7 @@
         """CLOVERKEEL_OPTIONS of a gateway, as parsed."""
         if not self.relays:
             return {}
-        relays = [_text(target) for target in targets]
-        return {"relays": {"gateway": front.name, "relays": relays, "services": [*front.services]}}
+        return {"relays": {"addresses": [_text(target) for target in targets[1:]], "services": [*front.services]}}
 
     async def make_hollow(self, targets: dict[str, list[Address]]) -> None:
         fronts = self.fleet.gateways
