--- a/benchmarks/capacity/run.py
+++ b/benchmarks/capacity/run.py
@@ -3,9 +3,9 @@
     python -m benchmarks.capacity run [--json FILE] [--small] [--relays N] [--gateways N] [--hosts N] [--steps A,B]
 
 Hollow gateways (hollow.py), some to a process, beside real ones under the plan's load; discovery's stand-in, hosts
-and clients; with `--relays`, control-plane relays between (0: each gateway asks discovery, and holds the whole list).
-Three sizes a decade apart, the largest as near to the plan's as memory allows: what bounds it is printed. `--small`
-is for CI: two sizes, under a minute.
+and clients; control-plane relays between, 12 if not said otherwise (`--relays 0`: each gateway asks discovery, and
+holds the whole list). Three sizes a decade apart, the largest as near to the plan's as memory allows: what bounds it
+is printed. `--small` is for CI: one size without relays and one with two, under a minute.
 
 Judged by one clock: how long from a change at discovery until the LAST gateway that should have it has it (those that
 held the hosts; when they come back, those that had them before); bytes and calls at the hollow ones' sockets; what
@@ -46,7 +46,9 @@
 SMALL_S: Final = 58.0
 END_S: Final = 8.0  # of that for the end
 SHARES: Final = (0.01, 0.1, 1.0)  # of the largest size
-SMALL_SIZES: Final = ((8, 60), (24, 240))  # gateways and hosts
+SMALL_SIZES: Final = ((8, 60, 0), (24, 240, 2))  # gateways, hosts, relays
+RELAYS_LEAST: Final = 2
+EACH_RELAY: Final = 16  # gateways, at the least, where relays may be fewer than asked for
 REAL: Final = 2  # real gateways, at each size: what they add is compared
 SMALL_PACE: Final = 0.25  # of a full step's length
 REPORT_S: Final = 10.0  # between two lines about memory and time
@@ -58,12 +60,12 @@
     if options.small:
         wanted = list(SMALL_SIZES)
     else:
-        wanted = [(max(REAL + 4, round(options.gateways * x)), max(60, round(options.hosts * x))) for x in SHARES]
+        gateways, hosts, relays = options.gateways, options.hosts, options.relays
+        wanted = [(max(REAL + 4, round(gateways * x)), max(60, round(hosts * x)), relays) for x in SHARES]
     made = []
-    for gateways, hosts in wanted:
-        held = subset_hosts(fleet(gateways, hosts)) if options.relays else float(hosts)
-        relays = min(options.relays, max(2, gateways // 16)) if options.relays else 0
-        made.append(size(gateways, hosts, REAL, relays, held))
+    for gateways, hosts, relays in wanted:
+        held = subset_hosts(fleet(gateways, hosts)) if relays else float(hosts)
+        made.append(size(gateways, hosts, REAL, min(relays, max(RELAYS_LEAST, gateways // EACH_RELAY)), held))
     return made
 
 
@@ -122,7 +124,7 @@
         asked, small, largest = self.options.steps, self.options.small, made.hosts >= self.options.hosts
         return [
             step for step in STEPS
-            if (step.name in asked if asked else step.small if small else step.always or largest)
+            if (step.name in asked if asked else step.small > (not made.relays) if small else step.always or largest)
             and (made.relays or not step.relays)
         ]  # fmt: skip
 
@@ -167,7 +169,7 @@
 
     def as_json(self) -> dict[str, Any]:
         return {
-            "plan": asdict(PLAN), "build": BUILD, "cores": os.cpu_count(), "relays": self.options.relays,
+            "plan": asdict(PLAN), "build": BUILD, "cores": os.cpu_count(),
             "memory_bound_mb": MEMORY_MB, "memory_peak_mb": round(self.peak_mb), "faults": self.faults,
             "seconds": round(self.total_s - END_S - self.left_s, 1), "steps": self.rows,
         }  # fmt: skip
@@ -204,7 +206,7 @@
     )
     parser.add_argument("--json", type=Path)
     parser.add_argument("--small", action="store_true")
-    parser.add_argument("--relays", type=int, default=0, metavar="N")
+    parser.add_argument("--relays", type=int, default=PLAN.control_machines, metavar="N")
     parser.add_argument("--gateways", type=int, default=PLAN.gateways, metavar="N")
     parser.add_argument("--hosts", type=int, default=PLAN.hosts, metavar="N")
     parser.add_argument("--steps", default="", metavar="NAME,...", help=", ".join(step.name for step in STEPS))
@@ -215,8 +217,8 @@
     for name in options.steps:
         if name not in known:
             parser.error(f"--steps: {name}: expected some of {', '.join(known)}")
-    if not 0 <= options.relays <= PLAN.control_machines:
-        parser.error(f"--relays: expected 0 to {PLAN.control_machines}, found {options.relays}")
+    if options.relays != 0 and not RELAYS_LEAST <= options.relays <= PLAN.control_machines:
+        parser.error(f"--relays: expected 0, or {RELAYS_LEAST} to {PLAN.control_machines}; found {options.relays}")
     if not REAL + 4 <= options.gateways <= PLAN.gateways or not 60 <= options.hosts <= PLAN.hosts:
         parser.error(f"--gateways, --hosts: expected {REAL + 4} to {PLAN.gateways}, and 60 to {PLAN.hosts}")
     return options
--- a/benchmarks/capacity/run_load.py
+++ b/benchmarks/capacity/run_load.py
@@ -101,8 +101,8 @@
                 for one in both:
                     one.cancel()
                 await asyncio.gather(*both, return_exceptions=True)
-        except OSError:
-            pass  # nobody there: the gateway sees its connection end
+        except (OSError, asyncio.CancelledError):
+            pass  # nobody there: the gateway sees its connection end. Or the run has ended
         finally:
             self.tasks.discard(task)
             self.sizes.pop(id(task), None)
--- a/benchmarks/capacity/run_world.py
+++ b/benchmarks/capacity/run_world.py
@@ -106,6 +106,7 @@
         self.halls: list[Part] = []
         self.relays: list[Relay] = []
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.listens: Address = ("127.0.0.1", 0)  # discovery, for hollow ones
         self.since_ms: dict[str, int] = {}  # of hosts that have begun anew
         self.ids = 0
         self.bad: list[str] = []
@@ -121,6 +122,7 @@
             "start", gateways=self.size.gateways, hosts=self.size.hosts, ports=ports, groups=groups
         )
         addresses: dict[str, Address] = {group: (a[0], a[1]) for group, a in said["addresses"].items()}
+        self.listens = addresses[HOLLOW]
         (self.folder / "roster.json").write_text(json.dumps(self.fleet.roster()))
         regions = list(self.fleet.regions)
         for number in range(self.size.relays):
--- a/tests/test_capacity_run.py
+++ b/tests/test_capacity_run.py
@@ -35,21 +35,26 @@
     assert run.main(["--small", "--json", str(file)]) == 0
     made = json.loads(file.read_text())
     assert made["faults"] == [] and made["seconds"] < run.SMALL_S and made["memory_peak_mb"] < 1_000
-    by_size = {
-        gateways: {row["step"]: row for row in made["steps"] if row["gateways"] == gateways}
-        for gateways, _ in run.SMALL_SIZES
-    }
-    for gateways, rows in by_size.items():
+    # The size, the step, and how many gateways should have each change and had it.
+    rows = {(row["gateways"], row["step"]): row for row in made["steps"]}
+    both = ["quiet", "all", "zone", "wave"]
+    behind = ["hour10", "drain", "rack", "down", "killed", "all-killed", "cut", "slow"]
+    assert sorted(rows) == sorted([(8, name) for name in both] + [(24, name) for name in both + behind])
+    for gateways, _, _ in run.SMALL_SIZES:
         hollow = gateways - run.REAL
-        assert list(rows) == ["quiet", "hour10", "all", "drain", "rack", "zone", "wave"]
-        assert rows["all"]["reach_all"] and rows["all"]["had"] == 2 * hollow
-        assert rows["zone"]["had"] == 2 * hollow and rows["zone"]["changed_hosts"] > rows["zone"]["hosts"] / 8
-        assert rows["wave"]["started"] == round(0.7 * hollow) == rows["wave"]["had"]
-        assert all(row["requests"] > 20 and row["added_p99_ms"] is not None for row in rows.values())
-        # The same eyes saw both: what is asked for in a second, and a zone's worth of changes.
-        assert abs(rows["quiet"]["calls_to_real"] - 1) < run.WITHIN
-        assert abs(rows["quiet"]["bytes_to_real"] - 1) < run.WITHIN
-        assert abs(rows["zone"]["bytes_to_real"] - 1) < run.WITHIN
+        zone, wave = rows[gateways, "zone"], rows[gateways, "wave"]
+        assert rows[gateways, "all"]["reach_all"] and rows[gateways, "all"]["had"] == 2 * hollow
+        # Behind relays half of the gateways have that zone's hosts, and are told twice.
+        assert zone["changed_hosts"] > zone["hosts"] / 8 and zone["had"] == (hollow if zone["relays"] else 2 * hollow)
+        assert wave["started"] == round(0.7 * hollow) == wave["had"]
+    assert all(row["requests"] > 20 and row["added_p99_ms"] is not None for row in rows.values())
+    # Nobody had to be told twice for the relays that were lost, nor by those that were cut off alone.
+    assert rows[24, "cut"]["had"] and rows[24, "killed"]["had"] and rows[24, "all-killed"]["had"]
+    # The same eyes saw both: what is asked for in a second, and a zone's worth of changes.
+    for gateways, _, _ in run.SMALL_SIZES:
+        assert abs(rows[gateways, "quiet"]["calls_to_real"] - 1) < run.WITHIN
+        assert abs(rows[gateways, "quiet"]["bytes_to_real"] - 1) < run.WITHIN
+    assert abs(rows[8, "zone"]["bytes_to_real"] - 1) < run.WITHIN
 
 
 @pytest.mark.parametrize(
@@ -69,7 +74,8 @@
 
 
 @pytest.mark.parametrize(
-    "said", [["--steps", "quiet,tea"], ["--relays", "13"], ["--gateways", "5000"], ["--hosts", "1"]]
+    "said",
+    [["--steps", "quiet,tea"], ["--relays", "13"], ["--relays", "1"], ["--gateways", "5000"], ["--hosts", "1"]],
 )
 def test_a_call_that_asks_for_what_there_is_not_is_refused(said: list[str]) -> None:
     with pytest.raises(SystemExit) as error:
