Scale run: bounded by the processor too; what starves the stand-ins is told apart

Seen: 800 hollow gateways behind 12 relays on a machine with other work want 0.0025 of a core each (most of it writes to sockets); beyond the cores that are there, hollow ones time out at relays and ask for wholes, which no real one does.

--- a/benchmarks/capacity/run_load.py
+++ b/benchmarks/capacity/run_load.py
@@ -18,7 +18,7 @@
 from typing import Any, Final
 
 from benchmarks.capacity.plan import PLAN
-from benchmarks.capacity.run_parts import clock_us
+from benchmarks.capacity.run_parts import Stops, clock_us
 from standins.ledger import Answered, Asked, Entry, Ledger, Process, Run, Unanswered, now_us
 from standins.parties.box import Box, Shelf
 from standins.parties.clients import Clients, Door, Front, Habits
@@ -29,6 +29,7 @@
 HINT: Final = 0.02  # of the class's work: a host computes for about a millisecond, and waits on others as it does
 KIND: Final = BoxKind(cores=64, queue=4_000, connections=4_000, cold_share=1.0, handshake_us=0, report_us=8_000_000)
 SOCKETS: Final = 4_096  # descriptors of a real gateway
+SLOW_HOST: Final = 0.6  # of a request's time: a host that took it was starved of the processor; it computes for 1 ms
 DIRECT_PER_S: Final = 40.0  # requests without a gateway
 READ: Final = 64 * 1024
 KEPT: Final = (Asked, Answered, Unanswered, Run, Process)
@@ -139,6 +140,7 @@
     refused: int = 0  # 429, 503: not done, and said so
     failed: int = 0  # any other status
     lost: int = 0  # no whole answer
+    starved: int = 0  # failed or lost while these stand-ins stood still, or a host's answer took all of its time
     added_ms: list[float] = field(default_factory=list)
     direct_ms: list[float] = field(default_factory=list)
     late: int = 0  # requests at hosts that had left, past the grace
@@ -147,6 +149,7 @@
     def row(self) -> dict[str, Any]:
         return {
             "requests": self.asked, "refused": self.refused, "failed": self.failed, "lost": self.lost,
+            "starved": self.starved,
             "added_p50_ms": quantile(self.added_ms, 0.5), "added_p99_ms": quantile(self.added_ms, 0.99),
             "direct_p99_ms": quantile(self.direct_ms, 0.99),
             "late_sends": self.late, "last_send_s": round(self.last_send_s, 3),
@@ -186,6 +189,7 @@
 
     async def start_hosts(self) -> list[int]:
         """Their ports, by rack."""
+        self.stops = Stops()
         for box in self.boxes:
             await box.start(cold=False)
         for box in self.boxes[:: max(1, len(self.boxes) // 4)]:
@@ -253,10 +257,12 @@
             return
         is_direct = asked.gateway == "direct"
         made.asked += not is_direct
-        if isinstance(end, Unanswered):
-            made.lost += 1
-        elif end.status in (429, 503):
+        if isinstance(end, Answered) and end.status in (429, 503):
             made.refused += 1
+        elif (isinstance(end, Unanswered) or end.status != 200) and self.is_starved(asked, end, run):
+            made.starved += 1
+        elif isinstance(end, Unanswered):
+            made.lost += 1
         elif end.status != 200:
             made.failed += 1
         elif run is not None:
@@ -264,6 +270,13 @@
             added_ms = (end.at_us - asked.at_us - (run.over_us - run.at_us)) / 1e3
             (made.direct_ms if is_direct else made.added_ms).append(added_ms)
 
+    def is_starved(self, asked: Asked, end: Answered | Unanswered, run: Run | None) -> bool:
+        """Guards against laying the machine's at the gateway's door: who judges stood still, or the host did."""
+        if run is not None and (run.over_us or end.at_us) - run.at_us > asked.budget_us * SLOW_HOST:
+            return True
+        return any(asked.at_us - _LEDGER_AHEAD_US < to_us and from_us < end.at_us - _LEDGER_AHEAD_US
+                   for from_us, to_us in self.stops.stood)  # fmt: skip
+
     async def close(self) -> None:
         """Clients end first; the gateways are told to, and none is left behind."""
         for task in self.work:
--- a/benchmarks/capacity/run_parts.py
+++ b/benchmarks/capacity/run_parts.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import IO, Any, Final
@@ -26,6 +27,8 @@
 ANSWER_S: Final = 60.0  # for an order to be carried out: a part that is silent for longer ends the run
 END_S: Final = 5.0  # for a part to end once its input has
 LOOK_S: Final = 0.005  # between two looks of a part at its own loop
+STOOD_US: Final = 50_000  # a stop that is written down
+STOOD_MOST: Final = 1_000  # of the last of them
 PR_SET_PDEATHSIG: Final = 1
 TICK_US: Final = 1_000_000 // os.sysconf("SC_CLK_TCK")
 _libc = ctypes.CDLL(None, use_errno=True)
@@ -60,11 +63,15 @@
     def __init__(self) -> None:
         self.longest_us = 0
         self.last_us = clock_us()
+        self.stood: deque[tuple[int, int]] = deque(maxlen=STOOD_MOST)  # from when to when, the longer ones
         self.look()
 
     def look(self) -> None:
         at_us = clock_us()
-        self.longest_us = max(self.longest_us, at_us - self.last_us - int(LOOK_S * 1e6))
+        stood_us = at_us - self.last_us - int(LOOK_S * 1e6)
+        self.longest_us = max(self.longest_us, stood_us)
+        if stood_us > STOOD_US:
+            self.stood.append((self.last_us, at_us))
         self.last_us = at_us
         asyncio.get_running_loop().call_later(LOOK_S, self.look)
 
