--- a/benchmarks/capacity/run_world.py
+++ b/benchmarks/capacity/run_world.py
@@ -111,6 +111,7 @@
         self.since_ms: dict[str, int] = {}  # of hosts that have begun anew
         self.ids = 0
         self.bad: list[str] = []
+        self.begin_step()
 
     # Start and end
 
@@ -320,13 +321,17 @@
 
     # Measuring
 
+    def begin_step(self) -> None:
+        """Nothing of an earlier step counts."""
+        self.changes: dict[str, tuple[int, int]] = {}  # when, and how many gateways should have it
+        self.times_s: list[float] = []  # of each gateway and change: how long until it had it
+        self.missing = 0  # gateways that lack a change, of those waited for
+        self.some: list[str] = []  # which, for the log
+        self.more: dict[str, Any] = {}  # of this step alone, for its row
+
     async def measure(self, step: Step) -> dict[str, Any]:
         """Play a step; what was seen, as one row."""
-        self.changes: dict[str, tuple[int, int]] = {}
-        self.times_s: list[float] = []
-        self.missing, self.some = 0, list[str]()
-        self.more: dict[str, Any] = {}
-        self.limit_s: float | None = step.limit_s
+        self.begin_step()
         self.load.take()
         before, began_us = await self.ask_halls("stats", begins=True), clock_us()
         for passed in self.passed.values():
@@ -356,7 +361,7 @@
             "step": step.name, "share": round(self.size.share, 4), "gateways": self.size.gateways,
             "hosts": self.size.hosts, "real": self.size.real, "relays": self.size.relays,
             "seconds": round(seconds, 2), "last_s": quantile(self.times_s, 1.0), "p50_s": quantile(self.times_s, 0.5),
-            "p99_s": quantile(self.times_s, 0.99), "limit_s": self.limit_s, "had": len(self.times_s) or None,
+            "p99_s": quantile(self.times_s, 0.99), "limit_s": step.limit_s, "had": len(self.times_s) or None,
             "missing": self.missing, "some": self.some[:3],
             "bytes_per_s": round(each("came") + each("sent"), 1), "calls_per_s": round(each("calls"), 3),
             "wholes": grown("wholes"), "entries": grown("entries"), "errors": grown("errors"),
--- a/tests/test_capacity_run.py
+++ b/tests/test_capacity_run.py
@@ -13,11 +13,13 @@
 from typing import Any
 
 import pytest
+import uvloop
 from rich.console import Console
 
 from benchmarks.capacity import run
 from benchmarks.capacity.plan import fleet
-from benchmarks.capacity.run_sizes import MEMORY_MB, memory_mb, racks, size, subset_hosts
+from benchmarks.capacity.run_sizes import MEMORY_MB, Size, memory_mb, racks, size, subset_hosts
+from benchmarks.capacity.run_world import HOLLOW, TWINS, World
 from standins.ledger import Ledger, Told
 from standins.parties.registry import Bodies, Entry, Registry, View
 
@@ -58,6 +60,33 @@
     assert abs(rows[8, "zone"]["bytes_to_real"] - 1) < run.WITHIN
 
 
+def test_a_change_that_does_not_come_is_seen_and_so_is_the_one_that_comes_late(tmp_path: Path) -> None:
+    """The opposite of a good run: discovery's answers to the hollow gateways are held back."""
+
+    async def play() -> None:
+        world = World(Size(8, 60, 2, 0, 1, ""), tmp_path, 1, run.SMALL_PACE)
+        try:
+            await world.start()
+            host = world.host(5).name
+            await world.tell("cut", groups=[HOLLOW], on=True)
+            name = await world.change([host], "DRAINING")
+            await world.had([name], within_s=0.5)
+            assert (world.missing, len(world.times_s)) == (6 - TWINS, TWINS)  # the twins ask elsewhere
+            assert host in world.some[0]
+            world.begin_step()
+            name = await world.change([host], "SERVING")
+            await asyncio.sleep(0.3)
+            await world.tell("cut", groups=[HOLLOW], on=False)
+            await world.had([name])
+            assert world.missing == 0 and len(world.times_s) == 6
+            assert sum(seconds > 0.3 for seconds in world.times_s) == 6 - TWINS
+        finally:
+            await world.close()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(play())
+
+
 @pytest.mark.parametrize(
     "fault",
     [{"missing": 1}, {"lost": 1}, {"failed": 1}, {"late_sends": 1}, {"calls_to_real": 1.2}, {"bytes_to_real": 0.8}],
