--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -290,8 +290,8 @@
         return {"held": [[places[n] for n in one.held if n in places] for one in up]}
 
     async def stats(self, order: dict[str, Any]) -> dict[str, Any]:
-        """Counts since the start; the longest stops since the last call with `begins`, at a step's start; from start to
-        list, of those started since `since_us`."""
+        """Counts since the start; the longest stops since the last call with `begins`, at a step's start; how long
+        from start to list, of those started since `since_us`."""
         ones = list(self.all.values())
         up = [one for one in ones if one.program is not None]
         wire = self.loop.wire
