--- a/benchmarks/capacity/run.py
+++ b/benchmarks/capacity/run.py
@@ -35,9 +35,9 @@
 from rich.console import Console
 from rich.table import Table
 
-from benchmarks.capacity.plan import PLAN, fleet
+from benchmarks.capacity.plan import PLAN
 from benchmarks.capacity.run_parts import PartError, raise_descriptors
-from benchmarks.capacity.run_sizes import MEMORY_MB, Size, size, subset_hosts
+from benchmarks.capacity.run_sizes import MEMORY_MB, Size, held_about, size
 from benchmarks.capacity.run_steps import STEPS, Step
 from benchmarks.capacity.run_world import World
 from caperdrift import BUILD
@@ -64,9 +64,12 @@
         wanted = [(max(REAL + 4, round(gateways * x)), max(60, round(hosts * x)), relays) for x in SHARES]
     made = []
     for gateways, hosts, relays in wanted:
-        held = subset_hosts(fleet(gateways, hosts)) if relays else float(hosts)
         relays = min(relays, max(RELAYS_LEAST, gateways // EACH_RELAY))
-        made.append(size(gateways, hosts, REAL, relays, held, options.cores))
+
+        def held_by(count: int, hosts: int = hosts, relays: int = relays) -> float:
+            return held_about(count, hosts) if relays else float(hosts)
+
+        made.append(size(gateways, hosts, REAL, relays, held_by, options.cores))
     return made
 
 
