--- a/benchmarks/capacity/run_sizes.py
+++ b/benchmarks/capacity/run_sizes.py
@@ -98,7 +98,7 @@
 
 
 def held_about(gateways: int, hosts: int) -> float:
-    """`subset_hosts` without making the fleet: a service has as many gateways in each region, and hosts in each zone."""
+    """`subset_hosts` without making the fleet: a service is spread evenly over regions and zones."""
     services = max(1, round(PLAN.services * hosts / PLAN.hosts))
     pairs = 0.0
     for count in service_sizes(hosts, services):
