--- a/cloverkeel/membership/registry.py
+++ b/cloverkeel/membership/registry.py
@@ -298,7 +298,7 @@
 
     def _on_failure(self, error: Exception) -> None:
         log(f"discovery: {error or type(error).__name__}")
-        self.plan.on_failure(given_up=isinstance(error, TimeoutError))
+        self.plan.on_failure()
         self.task = None  # this one is over; and the module may ask again while it hears of this
         self.stop()
         self.failed()
--- a/cloverkeel/relay/taking.py
+++ b/cloverkeel/relay/taking.py
@@ -26,9 +26,9 @@
     text = body.decode()
     made: dict[str, Any] = {}
     at = _past(text, _skip(text, 0), "{")
-    if text[at : at + 1] == "}":
-        return made
-    while True:
+    while text[at : at + 1] != "}":
+        if made:
+            at = _past(text, at, ",")
         key, at = _scan(text, at)
         if not isinstance(key, str):
             raise ValueError("expected a key")
@@ -38,20 +38,17 @@
             made[key] = items
             at = _past(text, at, "[")
             while text[at : at + 1] != "]":
+                if items:
+                    at = _past(text, at, ",")
                 item, at = _scan(text, at)
                 items.append(item)
                 at = _skip(text, at)
-                if text[at : at + 1] != "]":
-                    at = _past(text, at, ",")
                 if len(items) % STEP == 0:
                     yield
             at += 1
         else:
             made[key], at = _scan(text, at)
         at = _skip(text, at)
-        if text[at : at + 1] == "}":
-            break
-        at = _past(text, at, ",")
     if _skip(text, at + 1) != len(text):
         raise ValueError("something comes after the list")
     return made
@@ -70,29 +67,34 @@
 
 def take_in(feed: Feed, whole: bool, items: list[Any]) -> Generator[None, None, frozenset[Topic] | None]:
     """Returns whose waiting it ends, as Feed.take; None: it is rubbish."""
-    found: dict[str, Host | None] = {}
+    told: set[str] = set()  # names
+    changes: dict[str, Host | None] = {}
     skipped = 0
     for begin in range(0, len(items), STEP):
         some, unfit = feed.read(items[begin : begin + STEP], whole)
-        found.update(some)
         skipped += unfit
+        told.update(some)
+        for name, host in some.items():
+            if feed.hosts.get(name) is not host:
+                changes[name] = host
+            else:
+                changes.pop(name, None)  # said twice: the last word counts
         yield
     feed.counts.skipped += skipped
     is_rubbish = whole and len(items) - skipped < USABLE * len(items)
-    if is_rubbish or len(found) > MOST_HOSTS or (not whole and not feed.ready):
+    is_long = len(told if whole else feed.hosts.keys() | changes.keys()) > MOST_HOSTS
+    if is_rubbish or is_long or (not whole and not feed.ready):
         feed.counts.rubbish_lists += 1
         return None
     if whole:
         feed.counts.lists += 1
-        found.update({name: None for name in feed.hosts if name not in found})
-    yield
-    changes = [(name, host) for name, host in found.items() if feed.hosts.get(name) is not host]
+        changes.update(dict.fromkeys(feed.hosts.keys() - told))
     yield
-    changes.sort(key=lambda change: _order(feed, *change))
+    ordered = sorted(changes.items(), key=lambda change: _order(feed, *change))
     yield
     topics: set[Topic] = set()
-    for begin in range(0, len(changes), STEP):
-        topics |= feed.apply(changes[begin : begin + STEP])
+    for begin in range(0, len(ordered), STEP):
+        topics |= feed.apply(ordered[begin : begin + STEP])
         yield
     feed.ready = True
     return frozenset(topics)
