--- a/benchmarks/capacity/run_load.py
+++ b/benchmarks/capacity/run_load.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import random
 import statistics
@@ -30,6 +31,7 @@
 KIND: Final = BoxKind(cores=64, queue=4_000, connections=4_000, cold_share=1.0, handshake_us=0, report_us=8_000_000)
 SOCKETS: Final = 4_096  # descriptors of a real gateway
 SLOW_HOST: Final = 0.6  # of a request's time: a host that took it was starved of the processor; it computes for 1 ms
+EDGE_US: Final = 1_200_000  # a connection has a call at least so often
 DIRECT_PER_S: Final = 40.0  # requests without a gateway
 READ: Final = 64 * 1024
 KEPT: Final = (Asked, Answered, Unanswered, Run, Process)
@@ -38,6 +40,9 @@
 _LEDGER_AHEAD_US: Final = now_us() - clock_us()  # of the run's clock
 
 
+_numbers = itertools.count()  # of connections through taps
+
+
 class Account(Ledger):
     """Only what is judged here."""
 
@@ -60,13 +65,16 @@
         self.marks.clear()
 
     def rates(self) -> tuple[float, float]:
-        """Calls and bytes a second on a connection, in the mean: from its first call to its last. 0.0: too few."""
+        """Calls and bytes a second on a connection, in the mean: from its first call to its last, of those that were
+        there all the time. 0.0: there was none, as all moved."""
+        begin_us = min((marks[0][0] for marks in self.marks.values()), default=0)
+        end_us = max((marks[-1][0] for marks in self.marks.values()), default=0)
         calls, sizes = list[float](), list[float]()
         for marks in self.marks.values():
-            took_s = (marks[-1][0] - marks[0][0]) / 1e6
-            if len(marks) > 1 and took_s > 0:
-                calls.append((len(marks) - 1) / took_s)
-                sizes.append((marks[-1][1] - marks[0][1]) / took_s)
+            took_us = marks[-1][0] - marks[0][0]
+            if took_us > 0 and marks[0][0] - begin_us < EDGE_US and end_us - marks[-1][0] < EDGE_US:
+                calls.append((len(marks) - 1) * 1e6 / took_us)
+                sizes.append((marks[-1][1] - marks[0][1]) * 1e6 / took_us)
         return (statistics.mean(calls), statistics.mean(sizes)) if calls else (0.0, 0.0)
 
 
@@ -88,13 +96,14 @@
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
-        self.sizes[id(task)] = 0
+        number = next(_numbers)
+        self.sizes[number] = 0
         far: asyncio.StreamWriter | None = None
         try:
             back, far = await asyncio.open_connection(*self.target)
             both = {
-                asyncio.ensure_future(self.copy(reader, far, id(task), True)),
-                asyncio.ensure_future(self.copy(back, writer, id(task), False)),
+                asyncio.ensure_future(self.copy(reader, far, number, True)),
+                asyncio.ensure_future(self.copy(back, writer, number, False)),
             }
             try:
                 await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
@@ -106,7 +115,7 @@
             pass  # nobody there: the gateway sees its connection end. Or the run has ended
         finally:
             self.tasks.discard(task)
-            self.sizes.pop(id(task), None)
+            self.sizes.pop(number, None)
             writer.transport.abort()
             if far is not None:
                 far.transport.abort()
--- a/benchmarks/capacity/run_world.py
+++ b/benchmarks/capacity/run_world.py
@@ -432,9 +432,9 @@
     return sum(max(0, cpu_of(pid) - cpu_us) for pid, cpu_us in before.items())
 
 
-def _ratio(one: float, other: float) -> float:
-    """0.0 where there is nothing to compare."""
-    return round(one / other, 3) if other else 0.0
+def _ratio(one: float, other: float) -> float | None:
+    """None where there is nothing to compare."""
+    return round(one / other, 3) if one and other else None
 
 
 def _text(address: Address) -> str:
