Behind relays: after a call to discovery itself it is a relay's turn

Seen: with fewer gateways than direct_per_s allows calls in half a second, all relays dead for a while, gateways went to discovery for ever: the next direct call was due again before any relay's turn (Relays.choose). Change: after a call to discovery itself the next turn is a relay's.

--- a/cloverkeel/membership/relays.py
+++ b/cloverkeel/membership/relays.py
@@ -134,6 +134,7 @@
         self.direct_every_s = direct_every_s
         self.direct_due_s: float | None = None  # None: not wanted
         self.direct_s = -inf  # the last time
+        self.is_direct = False  # it is asked now: the next turn is a relay's, however soon this comes again
         self.failures = 0  # in a row
         self.since_s = -inf  # when this one was chosen
         self.may_leave_s = -inf  # who answers is not left before
@@ -146,7 +147,9 @@
         """Whom to ask from now on; None: discovery itself, once."""
         self.since_s, self.leaving_s = now_s, None
         wish, self.wish = self.wish, None
-        if self.direct_due_s is not None and now_s >= self.direct_due_s:
+        was_direct, self.is_direct = self.is_direct, False
+        if self.direct_due_s is not None and now_s >= self.direct_due_s and not was_direct:
+            self.is_direct = True
             self.direct_s, self.direct_due_s = now_s, now_s + self.direct_every_s
             self.at = None
             return None
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import random
 import subprocess
@@ -130,6 +131,21 @@
     assert relays.choose(9.0) is relays.order[0]
 
 
+def test_in_a_small_fleet_discovery_does_not_keep_it_from_its_relays() -> None:
+    """Where discovery may be asked again at once, each second turn is a relay's all the same."""
+    relays, now_s = Relays("g", TWELVE[:2], 0.01), 0.0
+    asked: list[bool] = []
+    for _ in range(20):
+        asked.append(relays.choose(now_s) is None)
+        if asked[-1]:
+            after_s = relays.on_answer(now_s + 0.01, now_s, 0.0, False, 0.5)
+            assert after_s is not None
+        else:
+            after_s = relays.on_failure(now_s + 0.01, False, 0.5)
+        now_s += 0.01 + after_s
+    assert any(asked) and not any(one and other for one, other in itertools.pairwise(asked))
+
+
 def test_where_all_are_stale_it_rests_at_the_freshest() -> None:
     relays, now_s, ages = Relays("g", TWELVE[:4], 100.0), 0.0, {}
     ages = {relay: 30.0 + 10 * place for place, relay in enumerate(relays.order[::-1])}
