--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1487,6 +1487,148 @@
     swap(Presence, "stood_still", lambda self, now_us, stood_us: None)
 
 
+# Relays
+
+
+@entry("relay-even-places")
+def _() -> None:
+    """A gateway's window begins at a hash of its own, not evenly spaced by its rank."""
+    from cloverkeel.relay.subset import Ring
+
+    cut(Ring, "window", ("start(count, gateways, group.place(gateway))", "stable_id(gateway, 8) % count"))
+
+
+@entry("relay-drains")
+def _() -> None:
+    """A host that drains is told as gone."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "answer_delta", ("if now is None or now.serves or", "if True or"))
+
+
+@entry("relay-index")
+def _() -> None:
+    """Changes are told from the gateway's last answer, whichever `from` names."""
+    from cloverkeel.relay.feed import Feed
+
+    held = "views.get(since) if since is not None else None"
+    cut(Feed, "answer", (held, "views[max(views)] if views and since is not None else None"))
+
+
+@entry("relay-restricts-first")
+def _() -> None:
+    """What serves is said before what restricts."""
+    from cloverkeel.relay.feed import Feed
+
+    ordered = "(*sorted(deleted), *sorted(drains), *sorted(came.items()))"
+    cut(Feed, "answer_delta", (ordered, "(*sorted(came.items()), *sorted(drains), *sorted(deleted))"))
+
+
+@entry("relay-not-ready")
+def _() -> None:
+    """A relay that has no list says that nobody serves."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "answer", ("raise NotReady", "pass"))
+
+
+@entry("relay-spill")
+def _() -> None:
+    """A region's gateways have its own hosts only, however few."""
+    from cloverkeel.relay.subset import Service
+
+    cut(Service, "shape", ("< self.sizes.serving:", "< 0:"))
+
+
+@entry("relay-rubbish")
+def _() -> None:
+    """A whole list that is mostly rubbish is taken."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "take", ("(len(items) - skipped) < USABLE * len(items) or ", ""))
+
+
+@entry("relay-move-anew")
+def _() -> None:
+    """A gateway that moves asks the next relay for changes after what another told."""
+    from cloverkeel.membership.relayed import RelayedDiscovery
+
+    cut(RelayedDiscovery, "_turn", ("self.plan.begin_anew()", "pass"))
+
+
+@entry("relay-names")
+def _() -> None:
+    """A gateway behind relays does not say who it is."""
+    from cloverkeel.membership import relayed
+
+    swap(relayed, "named", lambda target, gateway, services, wide: target)
+
+
+@entry("relay-old-permits")
+def _() -> None:
+    """Whatever a relay permits is believed, though it may not have heard of a drain that is known."""
+    from cloverkeel.membership.relays import Belief
+
+    cut(Belief, "_permitted", ("read_s > as_of_s and run != self.run and", "False and"))
+
+
+@entry("relay-stale-permits")
+def _() -> None:
+    """What a stale relay says is taken as any other's."""
+    from cloverkeel.membership.relays import Belief
+
+    cut(Belief, "take", ("if self.held and age_s > STALE_S:", "if False:"))
+
+
+@entry("relay-wide")
+def _() -> None:
+    """A subset whose hosts fail stays as it is."""
+    from cloverkeel.membership.relays import Width
+
+    swap(Width, "step", lambda self, now_s, failing, serving: 0)
+
+
+@entry("relay-metered")
+def _() -> None:
+    """A relay serves all wholes at once."""
+    from cloverkeel.relay.server import Server
+
+    cut(Server, "on_whole", ("if len(self.queue) < ", "if True or len(self.queue) < "))
+
+
+@entry("relay-age")
+def _() -> None:
+    """A relay's list counts as of the moment in which its answer was read."""
+    from cloverkeel.relay.source import Source
+
+    cut(Source, "hear", ("self.index_of_discovery, self.confirmed_us = index, self.asked_us",
+                         "self.index_of_discovery, self.confirmed_us = index, now_us()"))
+
+
+@entry("list-parts")
+def _() -> None:
+    """A long list is told in one piece."""
+    from cloverkeel.core import slices
+
+    swap(slices, "AT_ONCE", 10**9)
+
+
+@entry("list-parts-restrict")
+def _() -> None:
+    """What restricts waits with the rest of a long list."""
+    from cloverkeel.core.slices import Slices
+
+    cut(Slices, "take", ("entry.listed.status is not ServerStatus.READY or is_another(entry)", "False"))
+
+
+@entry("cold-told-users")
+def _() -> None:
+    """How many know a cold server is taken from the list's length alone, whatever is told."""
+    from caperdrift.balance import Balancer
+
+    cut(Balancer, "fall_budget_us", ("float(told or users)", "float(users)"))
+
+
 def take_out(names: Sequence[str]) -> None:
     """Take these guards out of this process; ValueError where one is not known."""
     unknown = [name for name in names if name not in GUARDS]
