--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -440,7 +440,7 @@
     row("list-parts", "requests are served between the parts of a long list", "Slices.take",
         tests="list_cost::between_the_parts_of_a_long_list_the_loop_has_its_turns"),
     row("list-parts-restrict", "what restricts is told at once", "Slices.take",
-        tests="list_cost::in_any_order_what_is_told_and_what_waits_is_the_newest_word"),
+        tests="list_cost::between_the_parts_of_a_long_list_the_loop_has_its_turns"),
     row("cold-told-users", "a cold host's budget is split by who has it", "Balancer.fall_budget_us",
         tests="list_cost::the_parts_of_those_who_know_a_cold_server_never_pass_its_budget"),
 )  # fmt: skip
