--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -241,10 +241,10 @@
         """Each scale run that is committed: its steps at its sizes."""
         made = []
         for run in self.runs:
-            head = f"{run.get('relays', 0)} relays, {run.get('cores')} cores, {run.get('build')}"
-            faults = run.get("faults", [])
+            faults, steps = run.get("faults", []), run.get("steps", [])
+            relays = ", ".join(str(count) for count in sorted({step.get("relays", 0) for step in steps}))
+            head = f"{relays or 'no step, no'} relays, {run.get('cores')} cores, {run.get('build')}"
             head += f", {len(faults)} faults" + "".join(f"; {text(fault)}" for fault in faults)
-            steps = run.get("steps", [])
             keys = [key for key in RUN_COLUMNS if any(step.get(key) is not None for step in steps)]
             made.append(head + ":\n\n" + table(keys, [[text(step.get(key)) for key in keys] for step in steps]))
         return "\n".join(made) or "No scale run is committed: nothing of it is known.\n"
