Guards: what finds accept-pauses counts turns of the loop, not processor time

Seen: the test asks whether the process used less than half of one second; without the pause the loop turns all the time, but eight workers beside it leave it less than half of a core, so a busy machine hides it. Ruled out: the guard itself, which works (with it the loop does not turn).

Change: a scripted test in one process: the listener has no descriptor, 500 turns of the loop are made, and accepts are counted against the pauses that went by. Without the guard each turn is an accept, however slow the machine. The process test stays in the suite as it was; the row names the new one.

--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -120,7 +120,7 @@
     row("accept-error", "an accept without a descriptor is survived", "Server.accept",
         tests="gateway_limits::an_accept_that_finds_no_descriptor_gives_up_who_asks_nothing"),
     row("accept-pauses", "an accept without a descriptor does not turn without end", "Server.pause_accepting",
-        tests="crossings::without_descriptors_the_program_waits_and_goes_on_when_there_are_some"),
+        tests="crossings::an_accept_without_a_descriptor_is_tried_again_only_after_a_pause"),
     row("slow-yield", "who sent half a request yields", "Server.give_up_slow",
         tests="crossings::who_stopped_in_the_middle_of_a_request_yields_to_who_asks"),
     row("reserve-kept", "hosts do not use up the reserve", "Server.make_room",
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import os
 import resource
 import socket
@@ -11,6 +12,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import Any, cast
 
 import pytest
 
@@ -18,7 +20,7 @@
 from cloverkeel.core.calls import Sink
 from cloverkeel.core.clock import now_us
 from cloverkeel.core.messages import Reply
-from cloverkeel.fronts.http1.server import RESERVE
+from cloverkeel.fronts.http1.server import ACCEPT_PAUSE_S, RESERVE
 from cloverkeel.membership.watch import FIRST_SILENT_S, HOLD_S, REST_S, TOLD_S, WATCH_SILENT_S
 from tests.sockets import (
     Exchange, Running, answers, configuration, endpoint, host_id, list_reply, on_loop, overhear, peer, reply, request,
@@ -407,6 +409,40 @@
         more[-1].close()
 
 
+class FullListener:
+    """The gateway's listener while the process has no descriptor left: what waits there can't be taken."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        self.listener, self.tried = listener, 0
+
+    def accept(self) -> tuple[socket.socket, object]:
+        self.tried += 1
+        raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.listener, name)
+
+
+@on_loop
+async def test_an_accept_without_a_descriptor_is_tried_again_only_after_a_pause() -> None:
+    """Turns of the loop are counted, not processor time: a busy machine gives a turning loop little of that too."""
+    async with peer(answers(reply())) as host, running(configuration(host)) as run:
+        listener = run.server.listener
+        assert listener is not None
+        full = FullListener(listener)
+        run.server.listener = cast(socket.socket, full)
+        client = await run.connect()
+        await until(lambda: full.tried)
+        first, since_s = full.tried, time.monotonic()
+        for _ in range(500):
+            await asyncio.sleep(0)
+        pauses = (time.monotonic() - since_s) / ACCEPT_PAUSE_S
+        assert full.tried - first <= 1 + pauses
+        run.server.listener = listener
+        assert (await client.ask(request())).status == 200
+        client.close()
+
+
 def cpu_ticks(pid: int) -> int:
     """Hundredths of a second of processor time."""
     return sum(map(int, Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[11:13]))
