Reading by steps: tests, guards, and what is measured is the caller that the program has

Need: the steps must change nothing of what the core is told, and the figures of stops came from a copy of the loop (parsed and handled in one step) that the program no longer has.

Change: part_list hands answers to the real caller and takes the longest turn of the loop; part_subset does the same behind a relay, with gzip. The first list has a row of its own: nobody is served before it. What is told goes in a turn of its own after the reading. A gateway that knows more than 200 hosts is told lists of over 50 entries in parts; who knows no more is told as before, in one piece up to 200. Before, 131 hosts of a zone that is back were told at once. Belief and Slices go over a long list once where they went twice.

--- a/benchmarks/capacity/parts.py
+++ b/benchmarks/capacity/parts.py
@@ -48,9 +48,10 @@
 COLDS = 8  # hosts that are cold at a time: 9,800 starts a day and 6 s each come to less than one
 MB = 1024 / 1e6  # a KiB
 GZIP_LEAST, GZIP_LEVEL = 1 << 10, 6  # of a relay's answers: bytes of the least that it packs
-SUBSET_COSTS = tuple(
-    f"{name}_{unit}" for name in ("whole", "change_zone") for unit in ("cpu_ms", "stop_ms", "bytes")
-) + ("whole_first_stop_ms",)  # fmt: skip
+SUBSET_COSTS = (
+    "whole_first_stop_ms",
+    *(f"{name}_{unit}" for name in ("whole", "change_zone") for unit in ("cpu_ms", "stop_ms", "bytes")),
+)
 TICK_S = 0.001  # of the ticker that finds stops of the loop
 
 
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -32,12 +32,14 @@
     estimate: bool = False  # of state that the program does not have yet
 
 
+SUBSET: Final = 790  # hosts of the widest gateway's subset (docs/relay-design.md)
 HOSTS: Final = (200, 2_000, 10_000, 38_000)
 PARTS: Final = (
     # The longest first: what is not reached in time is what comes last.
     Part("gateway", "hosts", HOSTS, (100, 200, 500, 1_000), PLAN.hosts),
     Part("list", "hosts", (200, 1_000, 2_000, 5_000, 10_000, 20_000, 38_000), (200, 500, 1_000, 2_000, 4_000, 6_000),
          PLAN.hosts),
+    Part("subset", "hosts", (100, 200, 400, 800, 1_600), (100, 200, 400, 800), SUBSET),
     Part("tenants", "tenants", (170, 1_700, 17_000, 170_000), (170, 500, 1_700, 5_000), PLAN.tenants),
     Part("rate", "requests a second", (13, 40, 133, 400), (13, 40, 80, 133), round(PLAN.requests_per_gateway)),
     Part("presence", "gateways", (50, 100, 200, 400, 800), (10, 20, 50, 100), PLAN.gateways),
@@ -56,7 +58,8 @@
 def _list() -> list[Spec]:
     made: list[Spec] = []
     for name, said, least in (
-        ("whole", "a whole list", 0), ("change_1", "a change of 1 host", 0), ("change_5", "a change of 5 hosts", 0),
+        ("whole", "a whole list again", 0), ("change_1", "a change of 1 host", 0),
+        ("change_5", "a change of 5 hosts", 0),
         ("change_500", "a change of 500 hosts", 1_000), ("change_zone", "a zone back (a sixth of the hosts)", 0),
     ):  # fmt: skip
         made.append(Spec(f"{name}_cpu_ms", "list", _HOSTS, f"CPU of {said}", "ms", least))
@@ -65,6 +68,21 @@
     return made
 
 
+def _first(name: str, part: str) -> Spec:
+    said = "longest stop of the loop by the first list: nobody is served before it"
+    return Spec(name, part, _HOSTS, said, "ms")
+
+
+def _subset() -> list[Spec]:
+    """Behind a relay that answers as gzip."""
+    made = [_first("subset_whole_first_stop_ms", "subset")]
+    for name, said in (("whole", "a whole subset again"), ("change_zone", "a sixth of a subset back")):
+        made.append(Spec(f"subset_{name}_cpu_ms", "subset", _HOSTS, f"CPU of {said}", "ms"))
+        made.append(Spec(f"subset_{name}_stop_ms", "subset", _HOSTS, f"longest stop of the loop by {said}", "ms"))
+        made.append(Spec(f"subset_{name}_bytes", "subset", _HOSTS, f"bytes of {said}, as gzip", "bytes"))
+    return made
+
+
 def _reload(name: str) -> list[Spec]:
     said = f"by {name}"
     return [
@@ -83,6 +101,8 @@
     Spec("ready_ms", "gateway", _HOSTS, "start to ready", "ms"),
     Spec("idle_ms_per_s", "gateway", _HOSTS, "CPU a second with nothing to do", "ms/s"),
     *_list(),
+    _first("whole_first_stop_ms", "list"),
+    *_subset(),
     Spec("poll_bytes", "list", _HOSTS, "bytes of a call to discovery that brings nothing", "bytes"),
     Spec("collector_ms", "list", _HOSTS, "the collector's longest full pass while lists and changes come", "ms"),
     Spec("quiet_request_us", "gateway", _REQUESTS, "CPU a request at the plan's rate, nothing changes", "us"),
--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1618,7 +1618,83 @@
     """What restricts waits with the rest of a long list."""
     from cloverkeel.core.slices import Slices
 
-    cut(Slices, "take", ("entry.listed.status is not ServerStatus.READY or is_another(entry)", "False"))
+    cut(Slices, "take", ("listed.status is not ServerStatus.READY or is_another(entry)", "False"))
+
+
+@entry("list-parts-known")
+def _() -> None:
+    """A list of two hundred hosts is told in one piece, however many are known."""
+    from cloverkeel.core.slices import Slices
+
+    cut(Slices, "take", ("AT_ONCE if known <= AT_ONCE else SLICE", "AT_ONCE"))
+
+
+@entry("list-steps")
+def _() -> None:
+    """A long list is read with no turns of the loop in between."""
+    from cloverkeel.membership.registry import Caller
+
+    cut(Caller, "_in_turns", ("await asyncio.sleep(0)", "pass"))
+
+
+@entry("list-steps-bounded")
+def _() -> None:
+    """Reading a long list takes as long as the loop's other work makes it."""
+    from cloverkeel.membership.registry import Caller
+
+    cut(Caller, "_in_turns", ("and now_s < until_s", ""))
+
+
+@entry("list-steps-superseded")
+def _() -> None:
+    """A list that is being read is told, whatever has come in its place."""
+    from cloverkeel.membership.registry import Caller
+
+    cut(Caller, "stop", ("self.task.cancel()", "pass"))
+
+
+@entry("list-steps-unread")
+def _() -> None:
+    """A process that stood still does not wait for the list that it is reading."""
+    from cloverkeel.membership.registry import Caller
+
+    cut(Caller, "_has_unread", ("(self.taking or line.has_unread)", "line.has_unread"))
+
+
+@entry("list-steps-hurry")
+def _() -> None:
+    """A list is read by steps also while nothing is sent before it is told."""
+    from cloverkeel.membership.registry import Caller
+
+    cut(Caller, "_in_turns", (" and not self.catches_up", ""))
+
+
+@entry("gzip-limit")
+def _() -> None:
+    """What comes as gzip may be of any length once read."""
+    from cloverkeel.core import gzip_steps
+    from cloverkeel.membership import relayed
+
+    cut(gzip_steps, "unpack", ("if size > limit:", "if False:"))
+    swap(relayed, "unpack", gzip_steps.unpack)
+
+
+@entry("gzip-end")
+def _() -> None:
+    """What comes after the end of gzip is left unsaid."""
+    from cloverkeel.core import gzip_steps
+    from cloverkeel.membership import relayed
+
+    cut(gzip_steps, "unpack", ("if reader.unused_data or at < len(body):", "if False:"))
+    swap(relayed, "unpack", gzip_steps.unpack)
+
+
+@entry("gzip-relays")
+def _() -> None:
+    """Discovery itself is asked for gzip where its answers are not read so."""
+    from cloverkeel.membership.relayed import RelayedDiscovery
+
+    cut(RelayedDiscovery, "accepts", ('b"" if self.relays.at is None else ', ""))
 
 
 @entry("cold-told-users")
--- a/benchmarks/list_cost.py
+++ b/benchmarks/list_cost.py
@@ -6,7 +6,7 @@
 A change is of hosts that start anew (what costs most), of weights, and a zone lost and back; a whole list names
 every host, all as they were. `module` is the time of the decisions alone, `cpu` that of all that follows a list in
 the core, `stop` the longest time in which the loop had no turn. Medians over the repeats, in ms. Also JSON and
-parse_list.
+parse_list, each at one go and by steps, with the longest step.
 Exit code 0; 2 where an option cannot be used.
 """
 
@@ -29,8 +29,9 @@
 
 from cloverkeel.core.config import parse  # noqa: E402
 from cloverkeel.core.gateway import Gateway  # noqa: E402
+from cloverkeel.core.json_steps import decode  # noqa: E402
 from cloverkeel.core.ports import Entry  # noqa: E402
-from cloverkeel.membership.registry import parse_list  # noqa: E402
+from cloverkeel.membership.registry import parse_list, parse_steps  # noqa: E402
 from cloverkeel.upstream.pools import Pools  # noqa: E402
 
 CONFIG = {
@@ -151,7 +152,15 @@
     kept = parse_list(read, config.names)
     over_s = time.perf_counter()
     del kept
-    return {"json": (parsed_s - began_s) * 1e3, "parse_list": (over_s - parsed_s) * 1e3, "bytes": float(len(data))}
+    costs = {"json": (parsed_s - began_s) * 1e3, "parse_list": (over_s - parsed_s) * 1e3, "bytes": float(len(data))}
+    longest_s = 0.0
+    for name, steps in (("json by steps", decode(data)), ("parse_list by steps", parse_steps(read, config.names))):
+        began_s = before_s = time.perf_counter()
+        for _ in steps:
+            longest_s, before_s = max(longest_s, time.perf_counter() - before_s), time.perf_counter()
+        longest_s = max(longest_s, time.perf_counter() - before_s)
+        costs[name] = (time.perf_counter() - began_s) * 1e3
+    return costs | {"longest step": longest_s * 1e3}
 
 
 def main() -> int:
--- a/cloverkeel/core/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -345,7 +345,7 @@
         if self.turn is None:
             # Set while anything waits: after a gap it comes before whatever the gap has begun.
             self.turn = self.loop.call_soon(self.on_turn)
-        if kind is not ListKind.DELTA:
+        if kind is not ListKind.DELTA and len(kept) < len(entries):
             gone += {entry.listed.server for entry in entries} - {entry.listed.server for entry in kept}
         return self.tell(ListKind.DELTA, now, tuple(ListedServer(number, ServerStatus.GONE) for number in gone))
 
--- a/cloverkeel/core/slices.py
+++ b/cloverkeel/core/slices.py
@@ -7,8 +7,9 @@
 - what has been told and what waits are together the newest word on each host: what a newer list says of a host, or a
   whole one by not naming it, takes the place of what waits;
 - what waits restricts nothing: hosts that drain, are gone, have moved or are new processes are told at once;
-- a list of AT_ONCE entries or fewer is told in one piece, and so is one of a gateway that knows few hosts yet: what
-  comes meanwhile would go to the few of the first part, from every gateway that starts at that time;
+- a list of AT_ONCE entries or fewer is told in one piece where no more hosts are known, and a list of SLICE always;
+- so is the list of a gateway that knows few hosts yet: what comes meanwhile would go to the few of the first part,
+  from every gateway that starts at that time. Its first list holds up nobody: without one nobody is served;
 - bounded: one entry a host, of those that a whole list named and changes since.
 It may not know who tells the module, nor what time it is.
 """
@@ -23,13 +24,13 @@
 
 from cloverkeel.core.ports import Entry
 
-AT_ONCE: Final = 200  # entries: the platform's whole list is no longer
+AT_ONCE: Final = 200  # entries, and hosts known: the platform's whole list is no longer
 SLICE: Final = 50  # entries in a turn: under a millisecond, all of them new, on a machine with other work
 KNOWN_LEAST: Final = 4  # times the hosts known are fewer than those named: the list is told in one piece
 
 
 class Slices:
-    """What waits of long lists, by the hosts' numbers, in the order in which it came."""
+    """What waits of long lists, by the hosts' numbers, in the order they came in; a newer word has its place."""
 
     def __init__(self) -> None:
         self.waiting: dict[int, Entry] = {}
@@ -55,15 +56,17 @@
         `known`: how many hosts are known now, what the list leaves out taken off already. `is_another`: whether a
         host is known as another process, or at another address.
         """
-        if len(entries) <= AT_ONCE or len(entries) > KNOWN_LEAST * known:
+        least = AT_ONCE if known <= AT_ONCE else SLICE
+        if len(entries) <= least or len(entries) > KNOWN_LEAST * known:
             return self.take_all(entries)
         now: list[Entry] = []
-        for server, entry in {entry.listed.server: entry for entry in entries}.items():
-            self.waiting.pop(server, None)
-            if entry.listed.status is not ServerStatus.READY or is_another(entry):
+        for entry in entries:  # of a host that is named twice the last word is told last
+            listed = entry.listed
+            if listed.status is not ServerStatus.READY or is_another(entry):
+                self.waiting.pop(listed.server, None)
                 now.append(entry)
             else:
-                self.waiting[server] = entry
+                self.waiting[listed.server] = entry
         return now
 
     def next(self) -> list[Entry]:
--- a/cloverkeel/membership/registry.py
+++ b/cloverkeel/membership/registry.py
@@ -31,12 +31,12 @@
 from cloverkeel.protocols.http1 import ReplyError, ReplyReader
 
 Made = TypeVar("Made")
-Steps = Generator[None, None, Made]  # work that is done in steps, and what it makes
+Steps = Generator[bool | None, None, Made]  # work in steps, and what it makes; True: the next is a long one
 
 LIST_LIMIT = 16 * 1024 * 1024
 LONG: Final = 64 << 10  # bytes: an answer of no more is read in one piece; 200 hosts are some 33 KB
-SLICE_S: Final = 0.0003  # of reading a longer one, before the loop has its turns
-PARSED: Final = 16  # entries in a step: some 0.15 ms
+SLICE_S: Final = 0.00025  # of reading a longer one, before the loop has its turns
+PARSED: Final = 8  # entries in a step: some 0.1 ms
 STATUSES = {
     "SERVING": ServerStatus.READY,
     "DRAINING": ServerStatus.DRAINING,
@@ -120,7 +120,7 @@
     entries: dict[int, Entry] = {}
     for count, item in enumerate(raw.get("endpoints", [])):
         if count % PARSED == 0:
-            yield
+            yield None
         try:
             entry = parse_entry(item, names)
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
@@ -278,11 +278,11 @@
         try:
             while True:
                 try:
-                    next(steps)
+                    is_long = next(steps)
                 except StopIteration as stop:
                     return cast(Made, stop.value)
                 now_s = time.monotonic()
-                if slice_s < now_s < until_s and not self.catches_up:
+                if (is_long or now_s > slice_s) and now_s < until_s and not self.catches_up:
                     await asyncio.sleep(0)
                     slice_s = time.monotonic() + self.slice_s
         finally:
@@ -447,7 +447,7 @@
     def hear(self, body: bytes) -> Steps[bool]:
         raw = yield from self.read(body)
         index, whole, entries = yield from parse_steps(raw, self.names)
-        yield
+        yield True  # all of it is told in one step
         if self.plan.on_answer(asyncio.get_running_loop().time(), index, whole):
             self.on_list(ListKind.FULL if whole else ListKind.DELTA, entries)
         return bool(entries)
--- a/cloverkeel/membership/relayed.py
+++ b/cloverkeel/membership/relayed.py
@@ -118,7 +118,7 @@
         if is_direct and self.services and isinstance(raw.get("endpoints"), list):
             raw["endpoints"] = yield from self._of_its_services(raw["endpoints"])
         index, whole, entries = yield from parse_steps(raw, self.names)
-        yield
+        yield True  # all of it is told in one step
         now_s = asyncio.get_running_loop().time()
         if whole and not entries and raw.get("endpoints"):
             raise CallError("a whole list without one entry that can be used")
@@ -143,7 +143,7 @@
     def _of_its_services(self, items: list[Any]) -> Steps[list[Any]]:
         chosen: list[Any] = []
         for begin in range(0, len(items), PARSED):
-            yield
+            yield None
             chosen += [
                 entry for entry in items[begin : begin + PARSED]
                 if isinstance(entry, dict) and entry.get("service", "") in self.services
--- a/cloverkeel/membership/relays.py
+++ b/cloverkeel/membership/relays.py
@@ -261,7 +261,7 @@
     ) -> tuple[ListKind, list[Entry], bool]:
         """What to tell the core, and whether the whole list is to be asked for now."""
         self._forget(asked_s)
-        for entry in entries:
+        for entry in entries if self.waiting else ():
             self.waiting.pop(entry.listed.server, None)
         if self.held and age_s > STALE_S:
             self.only_ends |= whole or any(entry.listed.status is ServerStatus.READY for entry in entries)
@@ -282,10 +282,14 @@
 
     def _permitted(self, now_s: float, as_of_s: float, entries: list[Entry]) -> list[Entry]:
         """The entries with what is permitted too early left as it is held."""
-        told = []
+        told, ends = [], self.ends
         for entry in entries:
             number, status = entry.listed.server, entry.listed.status
-            read_s, run = self.ends.get(number, (-inf, 0))
+            if status is ServerStatus.READY and number not in ends:  # nearly all of a whole list
+                self.held[number] = status
+                told.append(entry)
+                continue
+            read_s, run = ends.get(number, (-inf, 0))
             held = self.held.get(number)
             if read_s > as_of_s and run != self.run and _is_looser(status, held):
                 self.waiting[number] = entry
--- a/cloverkeel/membership/watch.py
+++ b/cloverkeel/membership/watch.py
@@ -9,7 +9,7 @@
 - the first call on a connection waits for no news: what may wait its turn is never one that also holds for news;
 - after any failure the first answer is given longer (SLOW_ANSWER_S), up to an answer: a service with too many
   callers refuses some and has the others wait; to give up just before one's turn, again and again, is asking in vain.
-- a long answer that has come is read by steps for READ_S at the most, the rest of it in one piece: beside these times.
+- a long answer that has come is read by steps for READ_S at the most, and the rest in one piece: beside these times.
 Where the module asks again (no list is pushed), its own wait is within RETRY_S too (LIST_RETRY_US in balance.py).
 """
 
@@ -24,7 +24,7 @@
 CONNECT_S: Final = 0.5
 ANSWER_S: Final = 2.5  # for the first answer on a connection: calls are worked through in turn
 SLOW_ANSWER_S: Final = 3.2  # the same after a call that was refused, given up or broke off
-READ_S: Final = 0.05  # of reading a long answer by steps: what the sums below leave of TOLD_S, and as much again
+READ_S: Final = 0.05  # of reading a long answer by steps: half of what the sums below leave of TOLD_S
 RETRY_S: Final = 0.4  # between a failure and the next call, at the most
 RENEWED_S: Final = 0.2  # after its last answer a watch has ended, and the next call begins another
 WATCH_SILENT_S: Final = HOLD_S + LATE_S + RETRY_S + CONNECT_S + ANSWER_S
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import itertools
 import json
 import random
@@ -25,7 +26,7 @@
 from cloverkeel.core.options import Options, Relays as RelayOptions, load, parse as parse_options
 from cloverkeel.core.ports import Entry
 from cloverkeel.membership.relayed import RelayedDiscovery
-from cloverkeel.membership.registry import parse_entry
+from cloverkeel.membership.registry import LIST_LIMIT, parse_entry
 from cloverkeel.membership.relays import (
     HELD_S, LATE_S, MOST_WAIT_S, MOVE_GAP_S, MOVE_S, SLACK_S, STALE_S, VOLUNTARY_S, WIDE_BACK_S, WIDE_STEP_S, WIDEST,
     Belief, Relays, Width, age_of, of_those_held, order_of,
@@ -324,7 +325,17 @@
         assert run.module.servers[host_id(1)].entry.users == 12
 
 
+def coded(body: bytes, coding: str = "gzip") -> Script:
+    return answers(reply(200, body, f"Content-Encoding: {coding}"))
+
+
+DRAIN = json.dumps(hosts_list(6, endpoint("s-0", "127.0.0.1:9", status="DRAINING"), snapshot=False)).encode()
 FAULTS: dict[str, Script] = {
+    "gzip cut short": coded(gzip.compress(DRAIN)[:-9]),
+    "more than gzip": coded(gzip.compress(DRAIN) + b"x"),
+    "no gzip": coded(DRAIN),
+    "another coding": coded(DRAIN, "br"),
+    "too long once read": coded(gzip.compress(DRAIN + b" " * LIST_LIMIT, 1)),
     "reset": lambda exchange: exchange.reset(),
     "refuses": answers(reply(503)),
     "rubbish": answers(reply(200, b"not JSON")),
