Relays: who widens its subset keeps its share of cold hosts, and takes no other's

Need: a cold host's budget is split by `users`, which was told for the asker's own `wide`. Where some gateways had widened and others had not, the shares of a host added up to 2.5 on paper: those whose own it was had a full share each, and those that had it by widening a half, a quarter and an eighth besides. The rule on cold hosts asks for 1.

Looked at: telling all as if all had widened three times holds too, but leaves an eighth of the budget unused.

Change: a widened window begins with the gateway's own hosts, told with the same `users` as before it widened; the rest is told with 64 times as many. A gateway that widens is no longer told its own hosts anew.

Tests that change: what restricts is still said first, but to a widened gateway more may follow, as its own window moves with the ring; entries are encoded once for each of the two forms.

--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1498,6 +1498,14 @@
     cut(Ring, "window", ("start(count, gateways, group.place(gateway))", "stable_id(gateway, 8) % count"))
 
 
+@entry("relay-own-share")
+def _() -> None:
+    """Who has widened takes a full share of each cold host that it has by that."""
+    from cloverkeel.relay.subset import Host
+
+    cut(Host, "entry", ("users * APART", "users"))
+
+
 @entry("relay-drains")
 def _() -> None:
     """A host that drains is told as gone."""
--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -411,6 +411,8 @@
     # Relays
     row("relay-even-places", "no host is without a gateway", "Ring.window",
         tests="relay_subset::no_host_is_left_without_a_gateway"),
+    row("relay-own-share", "a cold host's shares are those of gateways whose own it is", "Host.entry",
+        tests="relay_subset::whoever_widens_the_shares_of_a_host_stay_within_its_budget"),
     row("relay-drains", "a drain reaches who has the host", "Feed.answer_delta",
         tests="relay_feed::a_drain_goes_to_who_has_the_host_and_its_end_too"),
     row("relay-index", "changes are from the very answer that is named", "Feed.answer",
--- a/cloverkeel/relay/feed.py
+++ b/cloverkeel/relay/feed.py
@@ -50,12 +50,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Window:
-    """What a gateway has of one ring: at which of the ring's changes, and with which `users`."""
+    """What a gateway has of one ring: at which of the ring's changes; the first `own` of its hosts whoever widens."""
 
     changed: int
-    users: int
+    users: int  # of a host of its own
+    own: int
     hosts: tuple[Host, ...]
 
+    def entry(self, place: int) -> bytes:
+        """The host at this place, as it is told."""
+        return self.hosts[place].entry(self.users, place < self.own)
+
 
 Windows = dict[str, dict[str, Window]]  # by service and zone
 
@@ -274,8 +279,8 @@
                 windows[name] = made
         view = View(self.number, self.roster, services, wide, windows, {})
         entries = tuple(
-            host.entry(window.users)
-            for zones in windows.values() for window in zones.values() for host in window.hosts
+            window.entry(place)
+            for zones in windows.values() for window in zones.values() for place in range(len(window.hosts))
         )  # fmt: skip
         self.counts.wholes += 1
         last = max(views, default=None)
@@ -353,7 +358,8 @@
             if had is not None and had.changed == ring.changed:
                 made[ring.zone] = had
             else:
-                made[ring.zone] = Window(ring.changed, ring.users(wide), ring.window(group, gateway, wide))
+                hosts = ring.window(group, gateway, wide)
+                made[ring.zone] = Window(ring.changed, ring.users(), ring.own(group), hosts)
         return made
 
     def answer_all(self, since: int | None) -> Answer | None:
@@ -408,12 +414,16 @@
     """What left a window, and what has to be told of it."""
     if before is after:
         return
-    had = {host.name: host for host in before.hosts} if before is not None else {}
+    had: dict[str, Host] = {}
+    own: set[str] = set()  # of those
+    if before is not None:
+        had = {host.name: host for host in before.hosts}
+        own.update(host.name for host in before.hosts[: before.own])
     if after is not None:
-        same_users = before is not None and before.users == after.users
-        for host in after.hosts:
-            if had.pop(host.name, None) is not host or not same_users:
-                came[host.name] = host.entry(after.users)
+        is_told = before is not None and before.users == after.users
+        for place, host in enumerate(after.hosts):
+            if had.pop(host.name, None) is not host or not is_told or (place < after.own) != (host.name in own):
+                came[host.name] = after.entry(place)
     went.update(had)
 
 
--- a/cloverkeel/relay/subset.py
+++ b/cloverkeel/relay/subset.py
@@ -4,8 +4,11 @@
 the same ring, evenly: number i begins at floor((i + 1/2) H / N) and has the next k of its H hosts.
 
 Invariants, for each ring and each group of N gateways on it:
-- how many gateways have a host differs by at most one between any two hosts, and is never none; where all ask with
-  the same `wide`, it is at most users_of(H, (N,), least);
+- how many gateways have a host differs by at most one between any two hosts, and is never none; where none has
+  widened, it is at most users_of(H, (N,), least);
+- the window of a gateway that has widened begins with its own, that of `wide` 0, and what is beyond that is told with
+  APART times as many users. So whoever widens, the shares 1 / `users` of a host add up to 1 + 8 / APART at the most:
+  of its own, to 1; of the others there are at most 8 times as many as `users`, as a window is doubled three times;
 - one host more or less brings at most 2 hosts into a window and takes at most 2 out of it;
 - the ring is the same for the same hosts, in whatever order they came.
 A service's shape says who shares which ring. Where fewer than Sizes.serving hosts of a region's own rings serve, its
@@ -28,6 +31,7 @@
 
 FEW: Final = 16  # changes of one ring at once that are made one by one; with more it is sorted anew
 DIGITS: Final = 4  # binary ones, of what is told as `users`
+APART: Final = 64  # times its users are told of a host that a gateway has only as it has widened: next to no share
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,20 +48,29 @@
 class Host:
     """One host as discovery has it. Never changed: who compares two by identity sees whether anything is other."""
 
-    __slots__ = ("name", "place", "rest", "serves", "service", "told", "users", "zone")
+    __slots__ = ("apart", "name", "place", "rest", "serves", "service", "told", "users", "zone")
 
     def __init__(self, name: str, service: str, zone: str, serves: bool, rest: bytes) -> None:
         """`rest`: its entry as a JSON object, without `status` and `users`, and without braces."""
         self.name, self.service, self.zone, self.serves, self.rest = name, service, zone, serves, rest
         self.place = (stable_id(f"{service}\0{zone}\0{name}", 8), name)
-        self.users, self.told = -1, b""
+        self.users, self.told, self.apart = -1, b"", b""
 
-    def entry(self, users: int) -> bytes:
-        """As it is told, encoded once for as long as `users` is the same (it is the ring's)."""
+    def entry(self, users: int, own: bool) -> bytes:
+        """As it is told, encoded once for as long as `users` is the same (it is the ring's).
+
+        `own`: to who has it in its own window; else with APART times as many users.
+        """
         if users != self.users:
-            status = b"SERVING" if self.serves else b"DRAINING"
-            self.users, self.told = users, b'{"status":"%s",%s,"users":%d}' % (status, self.rest, users)
-        return self.told
+            self.users, self.told, self.apart = users, b"", b""
+        if own:
+            self.told = self.told or self._encoded(users)
+            return self.told
+        self.apart = self.apart or self._encoded(users * APART)
+        return self.apart
+
+    def _encoded(self, users: int) -> bytes:
+        return b'{"status":"%s",%s,"users":%d}' % (b"SERVING" if self.serves else b"DRAINING", self.rest, users)
 
     def plain(self) -> bytes:
         """As discovery says it."""
@@ -78,7 +91,7 @@
 
 
 def users_of(hosts: int, groups: Iterable[int], least: int) -> int:
-    """Gateways that have a host at the most, where groups of these sizes share its ring and all ask so wide.
+    """Gateways that have a host at the most, where groups of these sizes share its ring; `least` as for `width`.
 
     One more than the windows make, for one that the roster lacks, and rounded up to four binary digits (by an
     eighth at the most): so that a ring does not tell its hosts anew at each change. Where hosts >= gateways it is
@@ -97,7 +110,7 @@
 class Ring:
     """The hosts of a service in a zone that serve, in order. `known` counts those that don't serve too."""
 
-    __slots__ = ("changed", "groups", "hosts", "known", "least", "users_by_wide", "whole", "zone")
+    __slots__ = ("changed", "groups", "hosts", "known", "least", "users_told", "whole", "zone")
 
     def __init__(self, zone: str, least: int) -> None:
         self.zone, self.least = zone, least
@@ -105,7 +118,7 @@
         self.known = 0
         self.changed = 0  # the feed's number of the last change that windows here may have to do with
         self.groups: tuple[int, ...] = ()  # the sizes of those that share it
-        self.users_by_wide: dict[int, int] = {}  # made when they are asked for
+        self.users_told = 0  # 0: to be worked out
         self.whole: tuple[Host, ...] | None = None  # shared by all whose window is the ring
 
     def change(self, out: Sequence[Host], put: Sequence[Host]) -> None:
@@ -124,24 +137,28 @@
 
     def share(self, groups: tuple[int, ...]) -> None:
         self.groups = groups
-        self.users_by_wide.clear()
+        self.users_told = 0
+
+    def users(self) -> int:
+        """Gateways that have one of its hosts in their own windows, at the most."""
+        if not self.users_told:
+            self.users_told = users_of(len(self.hosts), self.groups, self.least)
+        return self.users_told
 
-    def users(self, wide: int) -> int:
-        users = self.users_by_wide.get(wide)
-        if users is None:
-            users = self.users_by_wide[wide] = users_of(len(self.hosts), self.groups, self.least << wide)
-        return users
+    def own(self, group: Group) -> int:
+        """Hosts in the window of one who has not widened."""
+        return width(len(self.hosts), max(group.size, 1), self.least)
 
     def window(self, group: Group, gateway: str, wide: int) -> tuple[Host, ...]:
+        """Its own hosts first."""
         hosts = self.hosts
         count, gateways = len(hosts), max(group.size, 1)
-        wanted = width(count, gateways, self.least << wide)
-        if wanted >= count:
+        if self.own(group) >= count:
             if self.whole is None:
                 self.whole = tuple(hosts)
             return self.whole
         first = start(count, gateways, group.place(gateway))
-        last = first + wanted
+        last = first + width(count, gateways, self.least << wide)
         return tuple(hosts[first:last]) if last <= count else (*hosts[first:], *hosts[: last - count])
 
 
