Relays: SIGHUP at a gateway has other relays and services asked, without a restart

Change: on SIGHUP the options file is read beside the configuration where hosts come by relays; both can be used, or all stays as it is. Relays.replace is pure: relays that stay keep what was seen of them, one that is none any more is left within MOVE_S, with the gap between moves kept; relays that are new are asked before discovery itself. Only addresses, services and direct_per_s are taken.

--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1564,6 +1564,14 @@
     cut(RelayedDiscovery, "_turn", ("self.plan.begin_anew()", "pass"))
 
 
+@entry("relay-replaced")
+def _() -> None:
+    """Who is asked now is asked on, though the options name it no more."""
+    from cloverkeel.membership.relays import Relays
+
+    cut(Relays, "replace", ("return max(chance * MOVE_S, self.since_s + MOVE_GAP_S - now_s)", "return None"))
+
+
 @entry("relay-names")
 def _() -> None:
     """A gateway behind relays does not say who it is."""
--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -427,6 +427,8 @@
         tests="relay_feed::rubbish_is_counted_and_leaves_what_is_held"),
     row("relay-move-anew", "versions of one relay mean nothing to another", "RelayedDiscovery._turn",
         tests="relays::a_relay_that_fails_costs_no_news_and_the_list_stands"),
+    row("relay-replaced", "a relay that is none any more is not asked", "Relays.replace",
+        tests="relays::whoever_is_replaced_the_present_relay_is_one_of_those_named_or_is_left"),
     row("relay-names", "a gateway names itself", "relays.named",
         tests="relays::it_names_itself_and_asks_one_relay_alone"),
     row("relay-old-permits", "no relay undoes a drain that is known", "Belief._permitted",
--- a/cloverkeel/__main__.py
+++ b/cloverkeel/__main__.py
@@ -103,7 +103,7 @@
             loop.add_signal_handler(signum, stop.set)  # a second one changes nothing
         program = assemble(config, options)
         gateway, server = program.gateway, program.server
-        reloader = Reloader(program.discovery)
+        reloader = Reloader(program.discovery, program.relayed, options)
         loop.add_signal_handler(signal.SIGHUP, reloader.ask)
         operations = listener = None
         address = config.ops or config.listen
--- a/cloverkeel/assembly.py
+++ b/cloverkeel/assembly.py
@@ -33,6 +33,7 @@
     datagrams: Datagrams | None = None  # the socket of the parts below
     duties: Room | None = None
     sharing: SharingRoom | None = None
+    relayed: RelayedDiscovery | None = None  # the part of `discovery` that asks relays
 
     @property
     def parts(self) -> list[Room | SharingRoom]:
@@ -85,7 +86,7 @@
         relayed.outs = lambda: len(gateway.balancer.outs(now_us()))
     may_tell = config.settings.may_tell_peers and config.peer_listen is not None
     if options is None or not may_tell or (options.duties is None and options.sharing is None):
-        return Program(gateway, Server(config, gateway, pools), pools, membership)
+        return Program(gateway, Server(config, gateway, pools), pools, membership, relayed=relayed)
     # Imported here alone: most installations have none of it, and some allow no datagrams.
     from cloverkeel.core.datagrams import Datagrams
 
@@ -100,4 +101,4 @@
         from cloverkeel.sharing.room import Room as SharingRoom
 
         sharing = SharingRoom(config, gateway, datagrams)
-    return Program(gateway, Server(config, gateway, pools), pools, membership, datagrams, duties, sharing)
+    return Program(gateway, Server(config, gateway, pools), pools, membership, datagrams, duties, sharing, relayed)
--- a/cloverkeel/core/reload.py
+++ b/cloverkeel/core/reload.py
@@ -1,12 +1,15 @@
-"""SIGHUP: the configuration is read again while requests go on, and discovery may move."""
+"""SIGHUP: configuration and options are read again while requests go on; discovery may move, relays be others."""
 
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Protocol
 
 from cloverkeel.core.config import Address, Config, ConfigError, load
 from cloverkeel.core.log import log
+from cloverkeel.core.options import Options, Relays
+from cloverkeel.core.options import load as load_options
 
 
 class Movable(Protocol):
@@ -18,11 +21,22 @@
     def move(self, address: Address) -> None: ...
 
 
+class Relayed(Protocol):
+    """A source of hosts that asks relays."""
+
+    def use(self, options: Relays) -> None: ...
+
+
 class Reloader:
-    """Reads LB_CONFIG once for each time that is asked, or once for several that come together."""
+    """Reads LB_CONFIG once for each time that is asked, or once for several that come together.
 
-    def __init__(self, discovery: Movable) -> None:
-        self.discovery = discovery
+    Where hosts come by relays, CLOVERKEEL_OPTIONS too: both can be used, or all stays as it is.
+    """
+
+    def __init__(self, discovery: Movable, relayed: Relayed | None = None, options: Options | None = None) -> None:
+        """`options`: those that are in use."""
+        self.discovery, self.relayed = discovery, relayed
+        self.options = options or Options()
         self.asked = False
         self.reading: asyncio.Task[None] | None = None
 
@@ -36,7 +50,10 @@
             while self.asked:
                 self.asked = False
                 # Off the loop: the disk may be slow, and the file long.
-                self.take(await asyncio.to_thread(load))
+                config = await asyncio.to_thread(load)
+                options = await asyncio.to_thread(load_options) if self.relayed is not None else self.options
+                self.take(config)
+                self.take_options(options)
         except ConfigError as error:
             log(f"all stays as it is: {error}")
         finally:
@@ -49,3 +66,15 @@
         if config.discovery != self.discovery.address:
             log(f"discovery moves to {config.discovery[0]}:{config.discovery[1]}")
             self.discovery.move(config.discovery)
+
+    def take_options(self, options: Options) -> None:
+        """The same of the options: which relays are asked, and for which services."""
+        if self.relayed is None or options == self.options:
+            return
+        if options.relays is None:
+            log("the options name no relays any more; they are asked up to the next start")
+            return
+        if options.relays != self.options.relays:
+            log(f"{len(options.relays.addresses)} relays are asked from now on")
+            self.relayed.use(options.relays)
+        self.options = replace(self.options, relays=options.relays)
--- a/cloverkeel/membership/relayed.py
+++ b/cloverkeel/membership/relayed.py
@@ -34,8 +34,8 @@
         super().__init__(config.discovery, config.names, pushed=True)
         self.gateway, self.services = config.name, options.services
         self.plan = RelayWatch()
-        direct_every_s = config.settings.proxies / options.direct_per_s
-        self.relays = Relays(config.name, options.addresses, direct_every_s)
+        self.gateways = config.settings.proxies
+        self.relays = Relays(config.name, options.addresses, self.gateways / options.direct_per_s)
         self.belief = Belief()
         self.width = Width()
         self.outs: Callable[[], int] = lambda: 0  # the core's, once it is there: hosts that do not answer it
@@ -66,6 +66,14 @@
     def move(self, address: Address) -> None:
         self.address = address  # for the next call to discovery itself; one that is out there ends in its time
 
+    def use(self, options: Options) -> None:
+        """Other relays, or other services, from the next call on; a relay that is none any more is left at once."""
+        self.services = options.services
+        now_s, every_s = asyncio.get_running_loop().time(), self.gateways / options.direct_per_s
+        wait_s = self.relays.replace(now_s, self.gateway, options.addresses, every_s, random.random())
+        if wait_s is not None and self.retry is None:
+            self._leave(wait_s)
+
     def _turn(self) -> None:
         """Ask anew, at whom it is the turn of."""
         self.retry = None
--- a/cloverkeel/membership/relays.py
+++ b/cloverkeel/membership/relays.py
@@ -165,6 +165,24 @@
             self.at = min(self.order, key=lambda relay: relay.left_s)
         return self.at
 
+    def replace(
+        self, now_s: float, gateway: str, addresses: Sequence[Address], direct_every_s: float, chance: float
+    ) -> float | None:
+        """Other relays from now on; what was seen of those that stay is kept.
+
+        Returns after how long to `choose`, as the present one is not among them; None: stay.
+        """
+        seen = {relay.address: relay for relay in self.order}
+        self.order = [seen.get(address) or Relay(address) for address in order_of(gateway, addresses)]
+        self.direct_every_s = direct_every_s
+        if not all(relay.fails for relay in self.order):
+            self.direct_due_s = None
+        if self.wish not in self.order:
+            self.wish = None
+        if self.at is None or self.at in self.order:
+            return None
+        return max(chance * MOVE_S, self.since_s + MOVE_GAP_S - now_s)
+
     def late_s(self) -> float:
         """How much longer than it was asked to hold a call the present one may take."""
         return min(LATE_S * float(2 ** min(self.at.silences, 8)), LATE_MOST_S) if self.at is not None else LATE_S
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -51,13 +51,13 @@
 
 @asynccontextmanager
 async def program(
-    folder: Path, config: dict[str, Any], stderr: int = asyncio.subprocess.PIPE
+    folder: Path, config: dict[str, Any], stderr: int = asyncio.subprocess.PIPE, **environment: str
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
     """The program, once it is ready, and its port."""
     port = free_port()
     file = folder / "config.json"
     file.write_text(json.dumps(config | {"listen": f"127.0.0.1:{port}"}))
-    process = await start({"LB_CONFIG": str(file)}, stderr)
+    process = await start({"LB_CONFIG": str(file)} | environment, stderr)
     try:
         while (await ask(port, READY)) != 200:
             assert process.returncode is None
--- a/tests/test_gateway_reload.py
+++ b/tests/test_gateway_reload.py
@@ -25,6 +25,7 @@
     until,
 )
 from tests.test_gateway_process import ask, connect, program
+from tests.test_relays import holding, relay_list
 
 
 def replace(folder: Path, **changes: Any) -> None:
@@ -125,6 +126,37 @@
         assert process.returncode == 0 and len(said) == 1  # the line of the end
 
 
+@on_loop
+async def test_other_relays_and_services_are_asked_while_requests_go_on(tmp_path: Path) -> None:
+    """A file that cannot be used leaves all as it is; one that can has its relays asked, and the list stands."""
+    file = tmp_path / "options.toml"
+
+    def says(*relays: Peer, services: str = "s1") -> str:
+        return f"[relays]\naddresses = {json.dumps([r.address for r in relays])}\nservices = ['{services}']\n"
+
+    async with peer() as host, peer() as first, peer() as second, peer(silent) as discovery:
+        first.script = second.script = holding(relay_list(3, endpoint("s-9", host.address, service="s1")))
+        file.write_text(says(first))
+        config = configuration(host, discovery=discovery.address)
+        async with program(tmp_path, config, CLOVERKEEL_OPTIONS=str(file)) as (process, port):
+            await until(lambda: len(first.seen) >= 2)
+            assert process.stderr is not None
+            file.write_text("[relays]\naddresses = ['nowhere']\n")
+            process.send_signal(signal.SIGHUP)
+            while b"all stays as it is" not in (line := await process.stderr.readline()):
+                assert line
+            assert first.opened == 1 and first.ended == 0
+            file.write_text(says(second, services="s2"))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: first.ended and len(second.seen) >= 2)
+            assert all("services=s2" in target and "from=" not in target for target in asked(second)[:1])
+            assert await ask(port, request("search")) == 200
+            before = first.opened
+            process.send_signal(signal.SIGHUP)  # as before: nothing is asked anew
+            await until(lambda: len(second.seen) >= 4)
+            assert second.opened == 1 and first.opened == before and not discovery.opened
+
+
 @on_loop
 async def test_it_is_taken_on_the_way_out_and_before_the_loop_runs(tmp_path: Path) -> None:
     async with (
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -100,6 +100,38 @@
             direct_s.append(now_s)
 
 
+@given(st.lists(st.tuples(st.sets(st.integers(0, 11), min_size=1), st.booleans(), st.floats(0, 1)), max_size=20))
+def test_whoever_is_replaced_the_present_relay_is_one_of_those_named_or_is_left(
+    turns: list[tuple[set[int], bool, float]],
+) -> None:
+    relays, now_s, chosen_s = Relays("g", TWELVE, 10.0), 100.0, 100.0
+    relays.choose(now_s)
+    for numbers, fails, chance in turns:
+        seen, at = {relay.address: relay for relay in relays.order}, relays.at
+        named_now = [TWELVE[number] for number in numbers]
+        after_s = relays.replace(now_s, "g", named_now, 10.0, chance)
+        assert [relay.address for relay in relays.order] == order_of("g", named_now)
+        assert all(seen.get(relay.address, relay) is relay for relay in relays.order)  # what was seen is kept
+        assert (after_s is None) == (at is None or at.address in named_now)
+        if after_s is None and fails:
+            after_s = relays.on_failure(now_s, False, chance)
+        if after_s is not None:
+            now_s += after_s
+            assert now_s - chosen_s >= MOVE_GAP_S - 1e-9 and after_s <= MOST_WAIT_S
+            chosen_s = now_s
+            relays.choose(now_s)
+        assert relays.at is None or relays.at in relays.order
+
+
+def test_new_relays_are_asked_before_discovery_itself() -> None:
+    relays = Relays("g", TWELVE[:1], 10.0)
+    relays.choose(0.0)
+    now_s = relays.on_failure(0.0, False, 0.5)
+    assert relays.direct_due_s is not None
+    relays.replace(now_s, "g", TWELVE[1:3], 10.0, 0.5)
+    assert relays.direct_due_s is None and relays.choose(1_000.0) is relays.order[0]
+
+
 def test_the_first_call_to_discovery_is_spread_over_the_fleet() -> None:
     """10 a second of 1,000 gateways: all have asked after 100 s, and no ten seconds saw half as many again."""
     first = []
