A host is told the time that is left as its request is written

Two events that cross: an attempt's connection is asked for, and comes up late; up to 0.4 s there (the site's connect time-out), 0.15 s is allowed. X-Budget-Ms was put into the request when the connection was asked for.

Other sites time connections out sooner, so they never met it.

Change: Upstream.begin takes a function that makes the request as it is written; a guard's row and a test with a host whose connection comes up a second late, which tells too much without it.

--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -357,6 +357,14 @@
     swap(Server, "make_room", lambda self: True)
 
 
+@entry("budget-as-written")
+def _() -> None:
+    """A host is told the time that was left when its connection was asked for."""
+    from cloverkeel.core.gateway import Gateway
+
+    cut(Gateway, "send", ("(end_us - at_us)", "wait_us"))
+
+
 @entry("accept-pauses")
 def _() -> None:
     """An accept without a descriptor is tried again at once."""
--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -119,6 +119,8 @@
         tests="gateway_limits::silent_clients_crowd_out_neither_hosts_nor_other_clients"),
     row("accept-error", "an accept without a descriptor is survived", "Server.accept",
         tests="gateway_limits::an_accept_that_finds_no_descriptor_gives_up_who_asks_nothing"),
+    row("budget-as-written", "a host is told the time that is left as it is written", "Gateway.send",
+        tests="crossings::a_host_is_told_the_time_that_is_left_when_its_connection_has_come_up"),
     row("accept-pauses", "an accept without a descriptor does not turn without end", "Server.pause_accepting",
         tests="crossings::an_accept_without_a_descriptor_is_tried_again_only_after_a_pause"),
     row("slow-yield", "who sent half a request yields", "Server.give_up_slow",
--- a/cloverkeel/core/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -463,10 +463,14 @@
             """Guards against sending what nobody waits for: its connection came up after its request was over."""
             return not held.closed and held.sink is None and not held.call.client.has_gone()
 
-        call, budget = held.call, str(max(1, wait_us // 1000)).encode()
-        payload = [b"".join((call.head, b"X-Budget-Ms: ", budget, b"\r\n\r\n", call.body))]
-        if call.pieces is not None:
-            payload += call.pieces
+        call, end_us = held.call, now_us() + wait_us
+
+        def payload(at_us: int) -> list[bytes]:
+            """What is left when it is written: a connection may take long to come up, and its host is told less."""
+            budget = str(max(1, (end_us - at_us) // 1000)).encode()
+            made = [b"".join((call.head, b"X-Budget-Ms: ", budget, b"\r\n\r\n", call.body))]
+            return made if call.pieces is None else made + call.pieces
+
         held.attempts.append(None)
         held.out += 1
         self.tally.sent(action.server)
--- a/cloverkeel/core/ports.py
+++ b/cloverkeel/core/ports.py
@@ -46,6 +46,8 @@
 
 OnList = Callable[[ListKind, list[Entry]], None]
 OnEnd = Callable[[End], None]
+# A request in full, made as it is written, with the present time in µs: it tells its host what time is left.
+Payload = Callable[[int], list[bytes]]
 # Asked just before the first byte of an attempt is written, with the present time in µs: whether it is to go out.
 MayBegin = Callable[[int], bool]
 # A large answer has begun: its head, the length of its body if that is known, and the time until then. Where to pass
@@ -108,7 +110,7 @@
         """Ask this, with the present time in µs, just before an attempt's first byte; if not, it ends as moot."""
 
     def begin(
-        self, server: int, payload: list[bytes], timeout_us: int, on_end: OnEnd, on_begin: OnBegin,
+        self, server: int, payload: Payload, timeout_us: int, on_end: OnEnd, on_begin: OnBegin,
         may_begin: MayBegin, begin_by_us: int,
     ) -> Attempt:
         """Begin an attempt at a server that is known; its end may come before this returns.
--- a/cloverkeel/upstream/pools.py
+++ b/cloverkeel/upstream/pools.py
@@ -15,7 +15,7 @@
 from cloverkeel.core.clock import now_us
 from cloverkeel.core.config import Address
 from cloverkeel.core.messages import Reply, header
-from cloverkeel.core.ports import End, MayBegin, OnBegin, OnEnd
+from cloverkeel.core.ports import End, MayBegin, OnBegin, OnEnd, Payload
 from cloverkeel.core.loop_timers import LoopTimers
 from cloverkeel.core.timers import Timer
 from cloverkeel.protocols.http1 import ReplyError, ReplyReader
@@ -52,13 +52,13 @@
     )  # fmt: skip
 
     def __init__(
-        self, host: Host, payload: list[bytes], on_end: OnEnd, on_begin: OnBegin | None = None,
+        self, host: Host, payload: Payload, on_end: OnEnd, on_begin: OnBegin | None = None,
         may_begin: MayBegin | None = None, begin_by_us: int = 0,
     ) -> None:  # fmt: skip
         self.host = host
         self.may_begin: MayBegin = may_begin or _always
         self.begin_by_us = begin_by_us  # its last byte is written by then, or it is not sent; 0: no limit
-        self.payload = payload
+        self.payload: Payload = payload  # made as it is written
         self.on_end: OnEnd = on_end
         self.on_begin: OnBegin = on_begin or _unwanted
         self.sink: Sink | None = None  # where its large answer goes, once it has begun
@@ -278,7 +278,7 @@
     # Attempts
 
     def begin(
-        self, server: int, payload: list[bytes], timeout_us: int, on_end: OnEnd, on_begin: OnBegin,
+        self, server: int, payload: Payload, timeout_us: int, on_end: OnEnd, on_begin: OnBegin,
         may_begin: MayBegin | None = None, begin_by_us: int = 0,
     ) -> Attempt:  # fmt: skip
         """Begin an attempt at a host that is known."""
@@ -292,7 +292,7 @@
         path = b"/health/live" if self.settings.reports is Reports.NONE else b"/stats"
         address = f"{host.address[0]}:{host.address[1]}".encode()
         payload = b"GET %s HTTP/1.1\r\nHost: %s\r\n\r\n" % (path, address)
-        self.send(Attempt(host, [payload], on_end), PROBE_TIMEOUT_US)
+        self.send(Attempt(host, lambda at_us: [payload], on_end), PROBE_TIMEOUT_US)
 
     def send(self, attempt: Attempt, timeout_us: int) -> None:
         """Begin an attempt on a kept connection, or on a new one where none is free."""
@@ -372,7 +372,7 @@
 
     def put_on(self, connection: HostConnection, attempt: Attempt) -> bool:
         connection.attempt, attempt.connection = attempt, connection
-        if connection.write(attempt.payload):
+        if connection.write(attempt.payload(now_us())):
             return True
         connection.attempt = attempt.connection = None
         connection.close()
@@ -409,7 +409,7 @@
         load = load_of(reply) if self.reads_load else None
         # It knows its request, which knows its attempts: let go of, both are freed without a search for cycles.
         on_end, attempt.on_end, attempt.on_begin, attempt.may_begin = attempt.on_end, _told, _unwanted, _always
-        attempt.payload, attempt.sink = [], None
+        attempt.payload, attempt.sink = _nothing, None
         on_end(End(outcome, attempt.latency_us, reply, load))
 
     def on_timeout(self, attempt: Attempt) -> None:
@@ -550,6 +550,11 @@
     """In the place of what was called."""
 
 
+def _nothing(at_us: int) -> list[bytes]:
+    """What has ended is not written."""
+    return []
+
+
 def _always(at_us: int) -> bool:
     """Nobody minds."""
     return True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -229,8 +229,9 @@
             ended: list[Outcome] = []
             by_us = now_us() + int(begin_in_s * 1e6)
             run.pools.begin(
-                host_id(0), [request("hold")], 20_000_000, lambda e: ended.append(e.outcome), unwanted, None, by_us
-            )
+                host_id(0), lambda _: [request("hold")], 20_000_000, lambda end: ended.append(end.outcome), unwanted,
+                None, by_us,
+            )  # fmt: skip
             if begin_in_s < 1.0:
                 await until(lambda: ended)
                 assert ended == [Outcome.MOOT] and now_us() >= by_us
@@ -241,6 +242,22 @@
                 assert not ended
 
 
+@on_loop
+async def test_a_host_is_told_the_time_that_is_left_when_its_connection_has_come_up() -> None:
+    with late_host() as late:
+        async with running(configuration(late.address)) as run:
+            client = await run.connect()
+            client.send(request("search"))
+            await until(lambda: run.pools.open)
+            (held,) = run.gateway.held.values()
+            opened_us = now_us()
+            late.open()
+            heard = await asyncio.get_running_loop().sock_recv(await late.accept(), 65_536)
+            told_ms = int(heard.partition(b"X-Budget-Ms: ")[2].split(b"\r\n")[0])
+            assert 0 < told_ms * 1000 <= held.deadline_us - opened_us
+            client.close()
+
+
 @on_loop
 async def test_a_large_repeat_that_is_not_wholly_written_in_time_is_broken_off() -> None:
     """Its last byte has not gone out, so it has not run; a host that reads it later must not get the rest."""
@@ -251,8 +268,9 @@
             body = [b"x" * 65_536] * 305
             by_us = now_us() + 300_000
             run.pools.begin(
-                host_id(0), [head, *body], 20_000_000, lambda e: ended.append(e.outcome), unwanted, None, by_us
-            )
+                host_id(0), lambda _: [head, *body], 20_000_000, lambda end: ended.append(end.outcome), unwanted,
+                None, by_us,
+            )  # fmt: skip
             await until(lambda: ended)  # nobody has read any of it
             assert ended == [Outcome.MOOT] and now_us() >= by_us
 
--- a/tests/test_gateway_pools.py
+++ b/tests/test_gateway_pools.py
@@ -71,7 +71,7 @@
             ended.append(end.outcome)
 
         data = request("transfer")
-        pool.send(Attempt(pool.hosts[host_id(0)], [data], on_end), 20_000_000)
+        pool.send(Attempt(pool.hosts[host_id(0)], lambda _: [data], on_end), 20_000_000)
         await until(lambda: ended)
         assert ended == [Outcome.OK] and host.opened == 2
 
@@ -162,11 +162,11 @@
             ended.append(end.outcome)
 
         known = pools.hosts[host_id(0)]
-        pools.send(Attempt(known, [request()], on_end), 20_000_000)
+        pools.send(Attempt(known, lambda _: [request()], on_end), 20_000_000)
         known.drained_us = now_us() - 1_000_001
         await until(lambda: ended)
         assert ended == [Outcome.CONNECT_FAILED] and not host.seen
-        pools.send(Attempt(known, [request()], on_end), 20_000_000)
+        pools.send(Attempt(known, lambda _: [request()], on_end), 20_000_000)
         assert ended == [Outcome.CONNECT_FAILED] * 2
 
 
