--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -357,6 +357,14 @@
     swap(Server, "make_room", lambda self: True)
 
 
+@entry("budget-as-written")
+def _() -> None:
+    """A host is told the time that was left when its connection was asked for."""
+    from cloverkeel.core.gateway import Gateway
+
+    cut(Gateway, "send", ("(end_us - at_us)", "wait_us"))
+
+
 @entry("accept-pauses")
 def _() -> None:
     """An accept without a descriptor is tried again at once."""
@@ -1498,6 +1506,14 @@
     cut(Ring, "window", ("start(count, gateways, group.place(gateway))", "stable_id(gateway, 8) % count"))
 
 
+@entry("relay-own-share")
+def _() -> None:
+    """Who has widened takes a full share of each cold host that it has by that."""
+    from cloverkeel.relay.subset import Host
+
+    cut(Host, "entry", ("users * APART", "users"))
+
+
 @entry("relay-drains")
 def _() -> None:
     """A host that drains is told as gone."""
@@ -1556,6 +1572,14 @@
     cut(RelayedDiscovery, "_turn", ("self.plan.begin_anew()", "pass"))
 
 
+@entry("relay-replaced")
+def _() -> None:
+    """Who is asked now is asked on, though the options name it no more."""
+    from cloverkeel.membership.relays import Relays
+
+    cut(Relays, "replace", ("return max(chance * MOVE_S, self.since_s + MOVE_GAP_S - now_s)", "return None"))
+
+
 @entry("relay-names")
 def _() -> None:
     """A gateway behind relays does not say who it is."""
