A list of all hosts is cut down to a gateway's services as they were when it came

Need: SIGHUP may now change the services while a long list is read by steps, and half of the list would have been cut by the old ones, half by the new.

Change: the services are taken once, as the cutting begins. A test has a relay left while its list is read: what it said is not told, and the next relay is asked for the whole.

--- a/cloverkeel/membership/relayed.py
+++ b/cloverkeel/membership/relayed.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any, Final
 
 from caperdrift.interface import ListKind
@@ -124,7 +124,7 @@
             raise CallError("no list of hosts")
         is_direct, age_s = self.relays.at is None, age_of(raw)
         if is_direct and self.services and isinstance(raw.get("endpoints"), list):
-            raw["endpoints"] = yield from self._of_its_services(raw["endpoints"])
+            raw["endpoints"] = yield from _of_services(raw["endpoints"], self.services)
         index, whole, entries = yield from parse_steps(raw, self.names)
         yield True  # all of it is told in one step
         now_s = asyncio.get_running_loop().time()
@@ -148,12 +148,12 @@
             self.width.step(now_s, self.outs(), self.belief.serving())
         return bool(entries)
 
-    def _of_its_services(self, items: list[Any]) -> Steps[list[Any]]:
-        chosen: list[Any] = []
-        for begin in range(0, len(items), PARSED):
-            yield None
-            chosen += [
-                entry for entry in items[begin : begin + PARSED]
-                if isinstance(entry, dict) and entry.get("service", "") in self.services
-            ]  # fmt: skip
-        return chosen
+
+def _of_services(items: list[Any], services: Collection[str]) -> Steps[list[Any]]:
+    """`services` as they were when the list came: others may be asked for meanwhile."""
+    chosen: list[Any] = []
+    for begin in range(0, len(items), PARSED):
+        yield None
+        some = items[begin : begin + PARSED]
+        chosen += [entry for entry in some if isinstance(entry, dict) and entry.get("service", "") in services]
+    return chosen
--- a/tests/test_list_reading.py
+++ b/tests/test_list_reading.py
@@ -392,6 +392,24 @@
         assert not run.discovery.taking and max(counts) <= 2
 
 
+@on_loop
+async def test_a_list_of_a_relay_that_is_left_while_it_is_read_is_never_told() -> None:
+    async with peer(answers(reply())) as host, peer() as first, peer() as other, beside(host, first) as run:
+        first.script, other.script = Teller(packed(many(8, host.address))), Teller(many(9, host.address, count=2))
+        counts: set[int] = set()
+        overhear(run, lambda event: counts.add(run.pools.known()))
+        run.gateway.start()
+        await reading(run)
+        assert isinstance(run.discovery, RelayedDiscovery)
+        asked_s = run.discovery.asked_s
+        run.discovery.use(RelayOptions((("127.0.0.1", int(other.address.split(":")[1])),)))
+        while run.discovery.taking:
+            assert run.discovery.asked_s == asked_s  # another is asked after that
+            await asyncio.sleep(0)
+        await until(lambda: run.discovery.plan.index == 9)
+        assert max(counts) <= 2 and "from=" not in other.seen[0].message.first
+
+
 @on_loop
 async def test_what_is_read_while_the_process_stood_still_is_told_before_anything_is_sent() -> None:
     async with peer(answers(reply())) as host, peer() as relay, beside(host, relay) as run:
