Relays: a stale relay is left also where all others rest

Two events that cross: relay-1 killed and back at once; relay-0, which all had moved to, cut from discovery. Where every other relay rests, `_leaves_stale` stayed at the stale one for the rest's length, 5 to 320 s.

Ruled out: relay-0's age (told, 8 s and more), relay-1 (well, its list 0.2 s old, asked by nobody).

Change: a rest is for who has somewhere better to be.

--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1596,6 +1596,14 @@
     cut(Belief, "_permitted", ("read_s > as_of_s and run != self.run and", "False and"))
 
 
+@entry("relay-all-rest")
+def _() -> None:
+    """Who rests is not looked at, though all others do and the present relay is stale."""
+    from cloverkeel.membership.relays import Relays
+
+    cut(Relays, "_leaves_stale", ("if not others:", "if not is_known and not rested:"))
+
+
 @entry("relay-stale-permits")
 def _() -> None:
     """What a stale relay says is taken as any other's."""
--- a/benchmarks/guards/rows.py
+++ b/benchmarks/guards/rows.py
@@ -435,6 +435,8 @@
         tests="relays::it_names_itself_and_asks_one_relay_alone"),
     row("relay-old-permits", "no relay undoes a drain that is known", "Belief._permitted",
         tests="relays::a_move_at_the_moment_of_a_drain_does_not_undo_it"),
+    row("relay-all-rest", "a stale relay is left also where all others rest", "Relays._leaves_stale",
+        tests="relays::a_stale_relay_is_left_also_where_all_others_rest"),
     row("relay-stale-permits", "a stale relay permits nothing", "Belief.take",
         tests="relays::what_waits_is_replaced_by_a_newer_word_however_old_that_is"),
     row("relay-wide", "a subset that fails grows", "Width.step",
--- a/cloverkeel/membership/relays.py
+++ b/cloverkeel/membership/relays.py
@@ -5,6 +5,8 @@
 
 Invariants, each for any order of answers, failures and chances:
 - one relay is asked at a time; at each move all is asked anew, as the index of one relay means nothing to another;
+- a rest keeps nobody at a stale relay: where all others rest, they are looked at all the same, the one left longest
+  ago first, and where it fails the next, each once; then again after VOLUNTARY_S, twice that, up to LOOK_MOST_S;
 - two moves are MOVE_GAP_S apart at the least (5 a second), half of MOST_WAIT_S from the fourth failure in a row on
   (2 a second); moves away from a relay that answers are VOLUNTARY_S apart or more;
 - discovery itself is asked only while the last call to every relay has failed, and by one gateway once in
@@ -142,6 +144,7 @@
         self.wish: Relay | None = None  # who is to be the next in the place of a stale one
         self.leaving_s: float | None = None  # a stale one is left then, to spread
         self.stale_moves = 0  # in a row
+        self.look_s: float | None = None  # a stale one was left then: relays that rest are tried too, each once
 
     def choose(self, now_s: float) -> Relay | None:
         """Whom to ask from now on; None: discovery itself, once."""
@@ -154,12 +157,16 @@
             self.at = None
             return None
         rested = [relay for relay in self.order if relay.rests_until_s <= now_s]
+        unseen = [relay for relay in self.order if self.look_s is not None and relay.left_s < self.look_s]
         stale = [relay for relay in self.order if not relay.fails and relay.as_of_s > -inf]
         if wish is not None:
             self.at = wish
         elif rested:
             self.at = rested[0]
+        elif unseen:
+            self.at = min(unseen, key=lambda relay: relay.left_s)
         elif stale:
+            self.look_s = None
             self.at = max(stale, key=lambda relay: relay.as_of_s)
         else:
             self.at = min(self.order, key=lambda relay: relay.left_s)
@@ -218,9 +225,9 @@
     def _leaves_stale(self, relay: Relay, now_s: float, chance: float) -> bool:
         freshest = max(self.order, key=lambda other: other.as_of_s)
         is_known = freshest.as_of_s > relay.as_of_s + FRESHER_S
-        rested = [other for other in self.order if other is not relay and other.rests_until_s <= now_s]
-        if not is_known and not rested:
-            self.leaving_s = None
+        others = [other for other in self.order if other is not relay]
+        rested = [other for other in others if other.rests_until_s <= now_s]
+        if not others:
             return False
         if self.leaving_s is None:
             self.leaving_s = now_s + chance * STALE_SPREAD_S
@@ -231,7 +238,10 @@
         if is_known:
             self.wish = freshest
         else:
-            self.wish = min(rested, key=lambda other: other.left_s)  # it was looked at longest ago, or never
+            # It was looked at longest ago, or never. Where all rest one of them, and after it the next: a rest is for
+            # who has somewhere better to be.
+            self.wish = min(rested or others, key=lambda other: other.left_s)
+            self.look_s = now_s
             pause_s = min(VOLUNTARY_S * float(2 ** min(self.stale_moves, 8)), LOOK_MOST_S)
             self.stale_moves += 1
             self.may_look_s = now_s + pause_s * (1.0 + 0.5 * chance)
@@ -239,7 +249,7 @@
 
     def _goes_back(self, relay: Relay, now_s: float) -> bool:
         """To one that comes before it in this gateway's order and has rested: that time was spread."""
-        self.leaving_s, self.stale_moves, relay.rests_until_s = None, 0, -inf
+        self.leaving_s, self.look_s, self.stale_moves, relay.rests_until_s = None, None, 0, -inf
         if now_s - self.since_s >= PROVEN_S:
             relay.rests = 0
         before = self.order[: self.order.index(relay)]
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -198,6 +198,29 @@
     assert moves <= 24 and rested * HELD_S > 200.0
 
 
+@pytest.mark.parametrize("dead", [0, 1, 2])
+def test_a_stale_relay_is_left_also_where_all_others_rest(dead: int) -> None:
+    """They failed a moment ago; the last of them is back. A drain counts as told after 6 s, however long they rest."""
+    relays = Relays("g", TWELVE[: dead + 2], 100.0)
+    first, *others = relays.order
+    at, now_s = relays.choose(0.0), 0.0
+    for each in (*others, first):  # each is asked in vain once, the first last, and is back
+        relays.wish = each
+        at = relays.choose(now_s)
+        now_s += relays.on_failure(now_s, False, 1.0)
+    relays.wish = first
+    at, cut_s = relays.choose(now_s), now_s
+    assert all(other.rests_until_s > now_s + TOLD_S for other in others)
+    while at is not others[-1]:
+        if at is first:
+            after_s = relays.on_answer(now_s, now_s, now_s - cut_s, True, 1.0)
+        else:
+            after_s = relays.on_failure(now_s, False, 1.0)
+        now_s += after_s if after_s is not None else HELD_S
+        at = relays.choose(now_s) if after_s is not None else at
+    assert now_s - cut_s < TOLD_S
+
+
 # What is believed
 
 HOSTS = 3
