--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -200,7 +200,7 @@
 
 @pytest.mark.parametrize("dead", [0, 1, 2])
 def test_a_stale_relay_is_left_also_where_all_others_rest(dead: int) -> None:
-    """They failed a moment ago; the last of them is back. A drain counts as told after 6 s, however long they rest."""
+    """They failed a moment ago; the last is back. A drain counts as told after 6 s, however long they rest."""
     relays = Relays("g", TWELVE[: dead + 2], 100.0)
     first, *others = relays.order
     at, now_s = relays.choose(0.0), 0.0
