--- a/cloverkeel/membership/relays.py
+++ b/cloverkeel/membership/relays.py
@@ -61,6 +61,7 @@
 PROVEN_S: Final = 30.0  # who answered well for so long has made up for it
 VOLUNTARY_S: Final = 2.0  # between moves away from a relay that answers
 LOOK_MOST_S: Final = 32.0  # where all are stale, to see how another is: from VOLUNTARY_S on, twice that each time
+READ_S: Final = 0.5  # of reading a long answer by steps, before the rest is read in one piece
 # Age
 STALE_S: Final = 3.0  # a healthy relay's is 1 s and some, at the worst of its hold; a drain counts as told after 6 s
 STALE_SPREAD_S: Final = 1.0  # all gateways see a relay turn stale in one moment
@@ -288,7 +289,7 @@
     ) -> tuple[ListKind, list[Entry], bool]:
         """What to tell the core, and whether the whole list is to be asked for now."""
         self._forget(asked_s)
-        for entry in entries:
+        for entry in entries if self.waiting else ():
             self.waiting.pop(entry.listed.server, None)
         if self.held and age_s > STALE_S:
             self.only_ends |= whole or any(entry.listed.status is ServerStatus.READY for entry in entries)
@@ -309,10 +310,14 @@
 
     def _permitted(self, now_s: float, as_of_s: float, entries: list[Entry]) -> list[Entry]:
         """The entries with what is permitted too early left as it is held."""
-        told = []
+        told, ends = [], self.ends
         for entry in entries:
             number, status = entry.listed.server, entry.listed.status
-            read_s, run = self.ends.get(number, (-inf, 0))
+            if status is ServerStatus.READY and number not in ends:  # nearly all of a whole list
+                self.held[number] = status
+                told.append(entry)
+                continue
+            read_s, run = ends.get(number, (-inf, 0))
             held = self.held.get(number)
             if read_s > as_of_s and run != self.run and _is_looser(status, held):
                 self.waiting[number] = entry
