Relays: what must cross is drawn on purpose, and schedules find a guard that is out

Now each schedule has one such crossing with drawn times beside its other faults: an old list at a relay that is left alone, a relay that wakes with one, one that was lost for a moment and is then the only one that hears, a drain at the moment of a loss.

--- a/benchmarks/relay_schedules.py
+++ b/benchmarks/relay_schedules.py
@@ -102,7 +102,7 @@
     def __init__(self, seed: int, length_ms: int) -> None:
         self.dice = random.Random(f"relay-schedules/{seed}")
         self.seed, self.length_ms = seed, length_ms
-        self.feeds = self.dice.choice(((0, 0), (0, 0, 0), (0, 1), (0, 1, 0)))
+        self.feeds = self.dice.choice(((0, 0), (0, 0), (0, 0, 0), (0, 0, 0), (0, 1), (0, 1, 0)))
         self.discoveries = max(self.feeds) + 1
         self.busy: dict[tuple[str, tuple[int, ...]], int] = {}  # until when
         self.anew: set[int] = set()  # a version would come twice where one began anew twice
@@ -110,13 +110,70 @@
 
     def draw(self) -> Schedule:
         dice, length_ms = self.dice, self.length_ms
-        for _ in range(dice.randint(length_ms // 1_300, length_ms // 700)):
+        crossing = dice.choice((self.old_list, self.old_list, self.woken, self.rested, self.at_once))
+        crossing(dice.randrange(200, max(201, length_ms // 5)), dice.randrange(len(self.feeds)))
+        for _ in range(dice.randint(length_ms // 4_000, length_ms // 1_000)):
             (kind,) = dice.choices(list(FAULTS), list(FAULTS.values()))
             self.fault(kind, dice.randrange(length_ms))
-        for host in range(STEADY, HOSTS):
+        for host in range(STEADY + 1, HOSTS):
             self.host(host)
         return Schedule(self.seed, self.feeds, tuple(sorted(self.events, key=lambda event: event.at_ms)))
 
+    # What must cross for a guard to be needed; chance alone brings it seldom. All are of the host STEADY.
+
+    def old_list(self, at_ms: int, relay: int) -> None:
+        """A relay does not hear of a drain, and then it is the only one that can be asked."""
+        dice = self.dice
+        drain_ms = at_ms + dice.randint(0, 300)
+        # Young enough to be believed when it is asked, or older than that.
+        lost_ms = drain_ms + dice.choice((dice.randint(1_200, 2_200), dice.randint(2_200, 5_000)))
+        self.add("feed", Event(at_ms, "cut-feed", (relay,), lost_ms - at_ms + dice.randint(500, 2_000), "both,reset"))
+        self.drain(drain_ms, lost_ms + 3_000)
+        self.lose(lost_ms, relay)
+
+    def woken(self, at_ms: int, relay: int) -> None:
+        """A relay stands still, wakes with an old list that it says at once, and is the only one."""
+        dice = self.dice
+        for_ms = dice.choice((dice.randint(1_900, 2_800), dice.randint(2_800, 6_000)))
+        self.add("relay", Event(at_ms, "stop-relay", (relay,), for_ms))
+        self.drain(at_ms + dice.randint(0, 200), at_ms + for_ms + 3_000)
+        self.add("feed", Event(at_ms + for_ms - 10, "cut-feed", (relay,), dice.randint(10, 2_000), "both,reset"))
+        self.lose(at_ms + for_ms - 5, relay)
+
+    def rested(self, at_ms: int, relay: int) -> None:
+        """A relay is lost for a moment; soon it is the only one that hears discovery."""
+        dice = self.dice
+        self.lose_one(at_ms, relay, dice.choice(("stop-relay", "kill-relay")), 1_000)
+        cut_ms = at_ms + dice.randint(1_000, 2_500)
+        for other in range(len(self.feeds)):
+            if other != relay:
+                self.add("feed", Event(cut_ms, "cut-feed", (other,), dice.randint(2_000, 9_000), "both,reset"))
+        self.drain(cut_ms + dice.randint(0, 300), cut_ms + 9_000)
+
+    def at_once(self, at_ms: int, relay: int) -> None:
+        """A drain at the moment in which a relay is lost, and the end of both."""
+        self.lose_one(at_ms, relay, self.dice.choice(("stop-relay", "kill-relay")), self.stall_ms())
+        self.drain(at_ms + self.dice.randint(-100, 300), at_ms + 3_000)
+
+    def drain(self, at_ms: int, back_ms: int) -> None:
+        self.change(STEADY, self.dice.choice(("DRAINING", "DRAINING", "DELETED")), at_ms)
+        if self.dice.random() < 0.5:
+            self.change(STEADY, "SERVING", back_ms + self.dice.randint(0, 2_000))
+
+    def lose(self, at_ms: int, but: int) -> None:
+        """All relays but this one, for a while."""
+        how, for_ms = self.dice.choice(("stop-relay", "kill-relay", "cut-link")), self.dice.randint(1_000, 3_000)
+        for relay in range(len(self.feeds)):
+            if relay != but:
+                self.lose_one(at_ms, relay, how, for_ms)
+
+    def lose_one(self, at_ms: int, relay: int, how: str, for_ms: int) -> None:
+        if how != "cut-link":
+            self.add("relay", Event(at_ms, how, (relay,), for_ms))
+            return
+        for gateway in range(GATEWAYS):
+            self.add("link", Event(at_ms, how, (gateway, relay), for_ms, "both,reset"))
+
     def stall_ms(self) -> int:
         near = self.dice.choice(LIMITS_MS) + self.dice.choice((-NEAR_MS, NEAR_MS))
         return self.dice.choice((near, near, self.dice.randint(50, 1_000), self.dice.randint(50, 6_000)))
@@ -126,7 +183,8 @@
         place = (group, event.who)
         at_ms = max(event.at_ms, self.busy.get(place, 0))
         if at_ms < self.length_ms:
-            self.busy[place] = at_ms + event.for_ms + 1
+            # Of a relay that was killed the time until it is ready comes beside, which nobody knows.
+            self.busy[place] = self.length_ms if event.what == "kill-relay" else at_ms + event.for_ms + 1
             self.events.append(Event(at_ms, event.what, event.who, event.for_ms, event.how))
 
     def fault(self, kind: str, at_ms: int) -> None:
@@ -138,9 +196,7 @@
         if kind == "stop-relay":
             self.add("relay", Event(at_ms, kind, (relay,), self.stall_ms()))
         elif kind == "kill-relay":
-            # The time until it is ready comes beside: until then it cannot be stopped.
             self.add("relay", Event(at_ms, kind, (relay,), dice.choice((0, dice.randint(0, 4_000)))))
-            self.busy["relay", (relay,)] = self.length_ms
         elif kind == "stop-gateway":
             self.add("gateway", Event(at_ms, kind, (gateway,), self.stall_ms()))
         elif kind == "cut-link":
@@ -177,11 +233,12 @@
 
     def change(self, host: int, status: str, at_ms: int) -> int:
         """Told at both discoveries at once, or at one of them first; returns when both have it."""
+        at_ms = max(0, at_ms)
         late_ms = 0
         if self.discoveries > 1 and self.dice.random() < 0.5:
             late_ms = self.dice.randint(50, 4_000)
         first = self.dice.randrange(self.discoveries)
-        if at_ms < self.length_ms:
+        if at_ms < 2 * self.length_ms:
             self.events.append(Event(at_ms, "host", (host, first), late_ms, status))
         return at_ms + late_ms
 
--- a/standins/judging/relays.py
+++ b/standins/judging/relays.py
@@ -25,7 +25,7 @@
 REFUSED_US: Final = 1_500_000
 ANSWER_US: Final = 2_000_000
 SLACK_US: Final = 250_000  # of a busy machine, between a decision and what is seen of it
-OTHERS: Final = 100  # requests elsewhere with none here: this host was left
+OTHERS: Final = 80  # requests elsewhere with none here: this host was left
 
 # ("gateway", n), ("relay", n), ("link", gateway, relay), ("feed", relay): to its discovery, ("discovery", n)
 Part = tuple[str, int] | tuple[str, int, int]
--- a/tests/test_relay_judge.py
+++ b/tests/test_relay_judge.py
@@ -65,7 +65,7 @@
     uses(made, 1, 0.0, 2.5)
     uses(made, 0, 0.0, 10.0)
     uses(made, 1, 5.0, 5.1)
-    assert not found(made)  # 50 requests elsewhere may be chance
+    assert not found(made)  # 50 requests elsewhere may be chance, 100 are not
     uses(made, 0, 0.0, 10.0)
     assert found(made) == ["left, and used again after 2.550 s"]
     change(made, 4.9, "SERVING")
