--- a/benchmarks/relay_schedules.py
+++ b/benchmarks/relay_schedules.py
@@ -48,6 +48,7 @@
 LIMITS_MS = (300, 700, 1_000, 3_000)  # of the program: stops just under and just over each
 NEAR_MS = 40
 FLAPS, FLAP_MS = 6, 150
+MOST_MS = 120_000  # of a schedule that is given as a line
 FAULTS: Final = {
     "stop-relay": 5.0, "kill-relay": 4.0, "stop-gateway": 2.0, "cut-link": 3.0, "cut-feed": 4.0, "flap-link": 1.0,
     "flap-feed": 1.0, "discovery": 3.0, "anew": 1.0, "roster": 1.0,
@@ -420,19 +421,43 @@
     print(f"{played.timeline}\nreplay with: --replay '{played.schedule}'", flush=True)
 
 
+CUTS = tuple(f"{sides},{end}" for sides in ("both", "forward", "back") for end in ("reset", "go-on"))
+HOWS: Final = {
+    "cut-link": CUTS, "cut-feed": CUTS, "flap-link": CUTS, "flap-feed": CUTS, "host": (*HOST_EVENTS, "SERVING"),
+    "discovery": ("503", "reset", "silent", "rubbish"),
+}  # fmt: skip
+
+
 def parse(text: str) -> Schedule:
     """What a schedule prints as."""
+    first, *words = text.split() or [""]
+    try:
+        feeds = tuple(map(int, first.split(",")))
+        if not 1 <= len(feeds) <= 3 or not set(feeds) <= {0, 1} or 0 not in feeds:
+            raise ValueError
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"expected the discovery of each relay, as 0,1,0, found {first!r}") from None
+    events = [parse_event(word, len(feeds), max(feeds) + 1) for word in words]
+    return Schedule(0, feeds, tuple(events))
+
+
+def parse_event(word: str, relays: int, discoveries: int) -> Event:
+    numbers = {
+        "gateway": (GATEWAYS,), "roster": (GATEWAYS,), "relay": (relays,), "feed": (relays,),
+        "link": (GATEWAYS, relays), "discovery": (discoveries,), "anew": (discoveries,), "host": (HOSTS, discoveries),
+    }  # fmt: skip
     try:
-        feeds, *words = text.split()
-        events = []
-        for word in words:
-            at_ms, what, who, for_ms, *how = word.split(":")
-            if what not in (*FAULTS, "host"):
-                raise ValueError(what)
-            events.append(Event(int(at_ms), what, tuple(map(int, who.split("-"))), int(for_ms), "".join(how)))
-        return Schedule(0, tuple(map(int, feeds.split(","))), tuple(events))
-    except ValueError as error:
-        raise argparse.ArgumentTypeError(f"expected what a schedule is printed as, {error}") from None
+        at_ms, what, who, for_ms, how = (word + ":" * (4 - word.count(":"))).split(":")
+        event = Event(int(at_ms), what, tuple(map(int, who.split("-"))), int(for_ms), how)
+        most = numbers[what.rpartition("-")[2]]
+        is_known = what in (*FAULTS, "host") and how in HOWS.get(what, ("",))
+        is_there = all(0 <= n < m for n, m in zip(event.who, most, strict=True))
+        if not is_known or not is_there or not 0 <= event.at_ms <= MOST_MS or not 0 <= event.for_ms <= MOST_MS:
+            raise ValueError
+    except (ValueError, KeyError):
+        said = f"expected an event as 200:cut-link:0-1:500:both,reset, found {word!r}"
+        raise argparse.ArgumentTypeError(said) from None
+    return event
 
 
 def seeds_of(text: str) -> Sequence[int]:
