Relays: the judge says how late the last request was; a second defect found

The judge named the first request beyond the bound, 6.3 s after nearly each time; now it names the last, which tells a late answer from none.

Found, and not mended here: a gateway whose relay is cut from discovery, as the others were for a while, does not hear that one of them is well again before its next look, and looks are 2, 4, 8, 16, up to 32 s and half apart. So a drain comes late by up to a look and more (one relay is looked at each time). Two gateways of three sent to a host until 14.5 s after it drained, the third relay whole all that time:

The two events that cross: relay-2 hears discovery again, while relay-0 and relay-1 go on not to.

A look costs a relay a whole list. One that asks for the age alone (or /health/ready) could be made each second.

--- a/standins/judging/relays.py
+++ b/standins/judging/relays.py
@@ -180,16 +180,17 @@
     def of_left(self, gateway: int, host: int, since_us: int, until_us: int) -> Iterator[Wrong]:
         who, one_says = f"n{gateway} s-{host}", len(set(self.record.feeds)) == 1
         times, everywhere = self.at[gateway, host], self.all_at[gateway]
-        before_us = 0
+        before_us = late_us = 0
         for at_us in times[bisect_right(times, since_us) : bisect_right(times, until_us)]:
             if self.is_late(gateway, since_us, at_us, TOLD_US + SLACK_US):
-                yield Wrong(f"sent to {(at_us - since_us) / 1e6:.3f} s after it was to be left", at_us, who)
-                return
+                late_us = at_us
             others = bisect_right(everywhere, at_us) - bisect_right(everywhere, before_us)
             if one_says and before_us and others > OTHERS:
                 yield Wrong(f"left, and used again after {(at_us - before_us) / 1e6:.3f} s", at_us, who)
                 return
             before_us = at_us
+        if late_us:
+            yield Wrong(f"sent to until {(late_us - since_us) / 1e6:.3f} s after it was to be left", late_us, who)
 
     def of_back(self, gateway: int, host: int, since_us: int, until_us: int) -> Iterator[Wrong]:
         times = self.at[gateway, host]
--- a/tests/test_relay_judge.py
+++ b/tests/test_relay_judge.py
@@ -42,7 +42,7 @@
     uses(made, 1, 0.5, 8.2)
     assert not found(made)
     uses(made, 1, 8.2, 8.5)
-    assert found(made) == ["sent to 6.300 s after it was to be left"]
+    assert found(made) == ["sent to until 6.500 s after it was to be left"]
 
 
 def test_time_in_which_no_chain_is_whole_extends_the_bound() -> None:
@@ -53,14 +53,14 @@
     down(made, 3.0, 5.0, *cut)  # 2 s and what an interruption costs
     assert not found(made)
     uses(made, 1, 11.2, 11.5)
-    assert found(made) == ["sent to 9.300 s after it was to be left"]
+    assert found(made) == ["sent to until 9.450 s after it was to be left"]
     for parts in ((("gateway", 0),), (("discovery", 0),), (("relay", 0), ("relay", 1))):
         made.downs.clear()
         down(made, 3.0, 6.0, *parts)
         assert not found(made)
     made.downs.clear()
     down(made, 3.0, 6.0, ("relay", 0), ("feed", 0), ("link", 0, 0))  # by the other relay it could be told
-    assert found(made) == ["sent to 6.300 s after it was to be left"]
+    assert found(made) == ["sent to until 9.450 s after it was to be left"]
 
 
 def test_a_host_that_was_left_is_not_used_again_however_soon() -> None:
@@ -100,7 +100,7 @@
     uses(made, 1, 0.5, 19.0)
     assert not found(made)
     change(made, 10.0, "DELETED", 1)
-    assert found(made) == ["sent to 6.300 s after it was to be left"]
+    assert found(made) == ["sent to until 8.950 s after it was to be left"]
 
 
 def asked(made: Record, at_s: float, took_s: float | None = 0.1, status: int = 200, is_own: bool = True) -> None:
