--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -357,6 +357,14 @@
     swap(Server, "make_room", lambda self: True)
 
 
+@entry("budget-as-written")
+def _() -> None:
+    """A host is told the time that was left when its connection was asked for."""
+    from cloverkeel.core.gateway import Gateway
+
+    cut(Gateway, "send", ("(end_us - at_us)", "wait_us"))
+
+
 @entry("accept-pauses")
 def _() -> None:
     """An accept without a descriptor is tried again at once."""
@@ -1564,6 +1572,14 @@
     cut(RelayedDiscovery, "_turn", ("self.plan.begin_anew()", "pass"))
 
 
+@entry("relay-replaced")
+def _() -> None:
+    """Who is asked now is asked on, though the options name it no more."""
+    from cloverkeel.membership.relays import Relays
+
+    cut(Relays, "replace", ("return max(chance * MOVE_S, self.since_s + MOVE_GAP_S - now_s)", "return None"))
+
+
 @entry("relay-names")
 def _() -> None:
     """A gateway behind relays does not say who it is."""
@@ -1580,6 +1596,14 @@
     cut(Belief, "_permitted", ("read_s > as_of_s and run != self.run and", "False and"))
 
 
+@entry("relay-all-rest")
+def _() -> None:
+    """Who rests is not looked at, though all others do and the present relay is stale."""
+    from cloverkeel.membership.relays import Relays
+
+    cut(Relays, "_leaves_stale", ("if not others:", "if not is_known and not rested:"))
+
+
 @entry("relay-stale-permits")
 def _() -> None:
     """What a stale relay says is taken as any other's."""
