Guards: the relay's steps; who is behind is answered one at least in a slice

Need: what was added for the relay's long stops has invariants without a row in benchmarks/guards.

Change: rows for a roster that counts from one moment, callers found anew by it, a list of one moment, its age, and the slices for those who are behind; a test for the last. A slice answers one caller at least, however short it is.

--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1645,6 +1645,46 @@
     swap(server, "takes_gzip", lambda value: b"gzip" in value)
 
 
+@entry("relay-roster-shaped")
+def _() -> None:
+    """After another roster a service stays as it was until its hosts change."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "service", ("name in self.regrouped", "False"))
+
+
+@entry("relay-roster-found")
+def _() -> None:
+    """A caller that asks as before is found as before, whatever the roster says now."""
+    from cloverkeel.relay.server import Server
+
+    cut(Server, "find_by", (" and caller.roster is self.feed.roster", ""))
+
+
+@entry("relay-list-moment")
+def _() -> None:
+    """A whole list made by steps counts as of their end."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "listing", ("self.index_of(number)", "self.index_of(self.number)"))
+
+
+@entry("relay-list-age")
+def _() -> None:
+    """The age of a whole list counts from what is known as it is written, though the list went on."""
+    from cloverkeel.relay.server import Server
+
+    cut(Server, "go_listed", ("if listed.number == self.feed.number:", "if True:"))
+
+
+@entry("relay-slices")
+def _() -> None:
+    """All who are behind are answered in one go."""
+    from cloverkeel.relay.server import Server
+
+    cut(Server, "look", ("self.loop.time() >= end_s", "False"))
+
+
 @entry("list-parts")
 def _() -> None:
     """A long list is told in one piece."""
--- a/cloverkeel/relay/server.py
+++ b/cloverkeel/relay/server.py
@@ -378,13 +378,15 @@
         """For a slice at the most."""
         self.looking = None
         end_s = self.loop.time() + SLICE_S
-        while self.behind and self.loop.time() < end_s:
+        while self.behind:
             caller = next(iter(self.behind))
             ask = self.behind.pop(caller)
             if caller.ask is ask:  # it was not answered meanwhile, and has not gone
                 with ending(caller):
                     if not self.tell_news(caller, ask):
                         self.on_nothing_new(caller, ask)
+            if self.loop.time() >= end_s:
+                break
         if self.behind:
             self.looking = self.loop.call_soon(self.look)
 
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -411,6 +411,37 @@
         assert names(after) == {"s-0": "DELETED"} and after["age_ms"] < 5_000
 
 
+@on_loop
+async def test_who_asks_and_is_behind_is_answered_in_slices(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with desk() as one:
+        turn, turns = 0, []
+        sound, loop = one.server.feed.answer, asyncio.get_running_loop()
+
+        def tick() -> None:
+            nonlocal turn
+            turn += 1
+            loop.call_soon(tick)
+
+        def noted(asker: Asker, since: int | None) -> Answer | None:
+            turns.append(turn)
+            return sound(asker, since)
+
+        clients = [await one.client() for _ in range(8)]
+        held = [await one.listed(f"gateway=g{n % 3}", client) for n, client in enumerate(clients[:3])]
+        held += [await one.listed("", client) for client in clients[3:]]
+        one.server.hear(False, [{"name": "s-0", "status": "DELETED", "address": "127.0.0.1:1", "service": "s"}])
+        monkeypatch.setattr(server_module, "SLICE_S", 0.0)  # one each
+        monkeypatch.setattr(one.server.feed, "answer", noted)
+        tick()
+        queries = [f"gateway=g{n}" * (n < 3) + f"&from={each['index']}" for n, each in enumerate(held)]
+        for client, query in zip(clients, queries, strict=True):
+            client.send(f"GET /registry/instances?{query} HTTP/1.1\r\nHost: r\r\n\r\n".encode())
+        for number, client in enumerate(clients):
+            told: dict[str, Any] = json.loads((await client.answer()).body)
+            assert names(told) == ({} if number == 1 else {"s-0": "DELETED"})
+        assert len(turns) == len(set(turns)) == 8
+
+
 @on_loop
 async def test_calls_leave_no_cycles() -> None:
     """The collector looks only through what is new, and never again (Server.sweep)."""
