--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1625,7 +1625,7 @@
     """A relay serves all wholes at once."""
     from cloverkeel.relay.server import Server
 
-    cut(Server, "on_whole", ("if len(self.queue) < ", "if True or len(self.queue) < "))
+    cut(Server, "on_whole", ("if waiting < ", "if True or waiting < "))
 
 
 @entry("relay-age")
@@ -1637,6 +1637,54 @@
                          "self.index_of_discovery, self.confirmed_us = index, now_us()"))
 
 
+@entry("relay-gzip-asked")
+def _() -> None:
+    """Whoever says Accept-Encoding gets gzip, whatever weight it gives."""
+    from cloverkeel.relay import server
+
+    swap(server, "takes_gzip", lambda value: b"gzip" in value)
+
+
+@entry("relay-roster-shaped")
+def _() -> None:
+    """After another roster a service stays as it was until its hosts change."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "service", ("name in self.regrouped", "False"))
+
+
+@entry("relay-roster-found")
+def _() -> None:
+    """A caller that asks as before is found as before, whatever the roster says now."""
+    from cloverkeel.relay.server import Server
+
+    cut(Server, "find_by", (" and caller.roster is self.feed.roster", ""))
+
+
+@entry("relay-list-moment")
+def _() -> None:
+    """A whole list made by steps counts as of their end."""
+    from cloverkeel.relay.feed import Feed
+
+    cut(Feed, "listing", ("self.index_of(number)", "self.index_of(self.number)"))
+
+
+@entry("relay-list-age")
+def _() -> None:
+    """The age of a whole list counts from what is known as it is written, though the list went on."""
+    from cloverkeel.relay.server import Server
+
+    cut(Server, "go_listed", ("if listed.number == self.feed.number:", "if True:"))
+
+
+@entry("relay-slices")
+def _() -> None:
+    """All who are behind are answered in one go."""
+    from cloverkeel.relay.server import Server
+
+    cut(Server, "look", ("self.loop.time() >= end_s", "False"))
+
+
 @entry("list-parts")
 def _() -> None:
     """A long list is told in one piece."""
--- a/tests/test_relay_server.py
+++ b/tests/test_relay_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import gzip
 import json
 import signal
 import subprocess
@@ -23,9 +25,10 @@
 from cloverkeel.relay.calls import Ask, CallError, Meter, read_query
 from cloverkeel.relay.asks import Answer, Asker
 from cloverkeel.relay.config import Limits, RelayConfig, load
-from cloverkeel.relay.feed import Feed
+from cloverkeel.relay.encoding import LEAST, LongBody
+from cloverkeel.relay.feed import Feed, Groups
 from cloverkeel.relay.rereading import Rereader
-from cloverkeel.relay.roster import parse_roster
+from cloverkeel.relay.roster import Roster, parse_roster
 from cloverkeel.relay.server import HEAD_MOST, Server
 from cloverkeel.relay.taking import take_in
 from standins.ledger import Ledger
@@ -53,9 +56,10 @@
     async def client(self) -> Client:
         return Client(*await asyncio.open_connection("127.0.0.1", self.server.port))
 
-    async def get(self, target: str, client: Client | None = None) -> Message:
+    async def get(self, target: str, client: Client | None = None, *headers: str) -> Message:
         caller = client or await self.client()
-        return await caller.ask(f"GET {target} HTTP/1.1\r\nHost: r\r\n\r\n".encode())
+        lines = (f"GET {target} HTTP/1.1", "Host: r", *headers)
+        return await caller.ask("\r\n".join(lines).encode() + b"\r\n\r\n")
 
     async def listed(self, query: str, client: Client | None = None) -> dict[str, Any]:
         answer = await self.get(f"/registry/instances?{query}", client)
@@ -219,6 +223,39 @@
         assert other["snapshot"] is True and len(other["endpoints"]) == 4
 
 
+# On the wire
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_zipped"),
+    [
+        ((), False),
+        (("Accept-Encoding: gzip",), True),
+        (("accept-encoding: br;q=1.0, GZIP ; q=0.5",), True),
+        (("Accept-Encoding: br, gzip;q=0",), False),
+        (("Accept-Encoding: gzip; q=0.000",), False),
+        (("Accept-Encoding: gzip;q=much",), False),
+        (("Accept-Encoding: xgzip, *",), False),
+        (("X-Accept-Encoding: gzip",), False),
+    ],
+)
+@on_loop
+async def test_who_takes_gzip_gets_it_where_it_is_worth_it(headers: tuple[str, ...], is_zipped: bool) -> None:
+    async with desk() as one:
+        client = await one.client()
+        plain = (await one.get("/registry/instances?gateway=g2", client)).body
+        assert len(plain) > LEAST
+        answer = await one.get("/registry/instances?gateway=g2", client, *headers)
+        assert (answer.headers.get("content-encoding") == "gzip") == is_zipped
+        assert (len(answer.body) < len(plain) / 2) == is_zipped
+        told = [json.loads(each) for each in (plain, gzip.decompress(answer.body) if is_zipped else answer.body)]
+        assert told[0]["endpoints"] == told[1]["endpoints"] and "age_ms" in told[1]
+        short = await one.get("/registry/instances?gateway=g0&services=none", client, *headers)
+        assert len(short.body) < LEAST and "content-encoding" not in short.headers and json.loads(short.body)
+        again = await one.get("/registry/instances?gateway=g2", client)
+        assert "content-encoding" not in again.headers, "what an earlier call took is not asked of this one"
+
+
 # Wholes in turn
 
 
@@ -246,6 +283,201 @@
         assert served >= 1.5 * rate, "a burst, and those that wait, are served"
 
 
+# The whole list, by steps
+
+ALL = "/registry/instances"
+
+
+def fill(one: Desk, count: int = 3_000) -> None:
+    """With hosts of a service more, whose entries make more than a MB."""
+    one.server.hear(False, [
+        {"name": f"u-{n}", "address": "127.0.0.1:1", "type": f"{n * n}x" * 40, "service": "u", "status": "SERVING"}
+        for n in range(count)
+    ])  # fmt: skip
+
+
+async def turn_by_turn(steps: Generator[None, None, Any]) -> Any:
+    """As server.by_steps, but others get their turn after each step."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            return stop.value
+        await asyncio.sleep(0)
+
+
+def read(answer: Message) -> dict[str, Any]:
+    is_zipped = answer.headers.get("content-encoding") == "gzip"
+    found: dict[str, Any] = json.loads(gzip.decompress(answer.body) if is_zipped else answer.body)
+    return found
+
+
+@on_loop
+async def test_the_whole_list_is_made_once_for_all_who_ask_and_others_are_answered_meanwhile(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with desk() as one:
+        fill(one)
+        other, steps_made = await one.client(), 0
+
+        async def with_calls_between(steps: Generator[None, None, Any]) -> Any:
+            nonlocal steps_made
+            while True:
+                try:
+                    next(steps)
+                except StopIteration as stop:
+                    return stop.value
+                steps_made += 1
+                if steps_made % 20 == 0:
+                    assert (await one.get("/health/ready", other)).status == 200
+
+        monkeypatch.setattr(server_module, "by_steps", with_calls_between)
+        made: list[LongBody] = []
+        for _ in range(2):  # the second time it is there
+            clients = [await one.client() for _ in range(6)]
+            asked = [
+                one.get(ALL + "?gateway=nobody" * (n > 3), client, *("Accept-Encoding: gzip",) * (n % 2))
+                for n, client in enumerate(clients)
+            ]
+            told = [read(answer) for answer in await asyncio.gather(*asked)]
+            assert all(each["endpoints"] == told[0]["endpoints"] for each in told)
+            assert len(told[0]["endpoints"]) == 3_008 and len({each["index"] for each in told}) == 1
+            assert steps_made > 100
+            bodies = [one.server.listed[which].body for which in (False, True)]
+            assert made in ([], bodies)
+            made = bodies
+        assert made[1].size < made[0].size / 2
+        one.change(("s-0", "DELETED"))
+        await one.has(3_007)
+        assert not one.server.listed, "what is no longer so is not kept"
+
+
+@on_loop
+async def test_a_caller_that_goes_while_a_long_answer_is_made_or_taken_costs_no_other_anything(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with desk() as one:
+        fill(one, 20_000)
+        monkeypatch.setattr(server_module, "by_steps", turn_by_turn)
+        for when in (lambda: one.server.making, lambda: one.server.unsent):
+            gone, stays = await one.client(), await one.client()
+            gone.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            gone.send(f"GET {ALL} HTTP/1.1\r\nHost: r\r\n\r\n".encode())
+            await until(when)
+            wait = asyncio.create_task(one.get(ALL, stays, "Accept-Encoding: gzip"))
+            gone.writer.transport.abort()
+            assert len(read(await wait)["endpoints"]) == 20_008
+            await until(lambda: not one.server.unsent and len(one.server.callers) == 1)
+            stays.close()
+            await until(lambda: not one.server.callers)
+            one.server.listed.clear()
+            one.server.feed.all_entries = (-1, ())
+
+
+@on_loop
+async def test_a_long_answer_to_a_gateway_is_made_by_steps_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with desk() as one:
+        fill(one)
+        held = await one.listed("gateway=g2&services=s")
+        asked = "/registry/instances?gateway=g2&services=s,u&wide=3"
+        make, steps = one.server.make, list[object]()
+
+        def noted(each: Generator[None, None, None]) -> None:
+            steps.append(each)
+            make(each)
+
+        monkeypatch.setattr(one.server, "make", noted)
+        one.server.feed.sizes = replace(one.server.feed.sizes, least=500)  # its part is long
+        one.server.feed.services.clear()
+        one.server.feed.hosts.clear()
+        fill(one)
+        for more, header in (("", "X: y"), ("", "Accept-Encoding: gzip"), (f"&from={held['index']}", "X: y")):
+            told = read(await one.get(asked + more, None, header))
+            assert sum(item["status"] == "SERVING" for item in told["endpoints"]) == 3_000
+        assert len(steps) == 3
+
+
+@on_loop
+async def test_a_whole_list_that_was_made_while_the_list_went_on_is_as_old_as_it_is(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with desk() as one:
+        server = one.server
+        server.source.close()
+        server.source.confirmed_us = now_us() - 5_000_000
+        sound = server.feed.listing
+
+        def listing() -> Generator[None, None, Answer]:
+            made = yield from sound()
+            server.hear(False, [{"name": "s-0", "status": "DELETED", "address": "127.0.0.1:1", "service": "s"}])
+            server.source.confirmed_us = now_us()
+            return made
+
+        monkeypatch.setattr(server.feed, "listing", listing)
+        told = await one.listed("")
+        assert "s-0" in names(told) and told["age_ms"] >= 5_000
+        after = await one.listed(f"from={told['index']}")
+        assert names(after) == {"s-0": "DELETED"} and after["age_ms"] < 5_000
+
+
+@on_loop
+async def test_who_asks_and_is_behind_is_answered_in_slices(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with desk() as one:
+        turn, turns = 0, []
+        sound, loop = one.server.feed.answer, asyncio.get_running_loop()
+
+        def tick() -> None:
+            nonlocal turn
+            turn += 1
+            loop.call_soon(tick)
+
+        def noted(asker: Asker, since: int | None) -> Answer | None:
+            turns.append(turn)
+            return sound(asker, since)
+
+        clients = [await one.client() for _ in range(8)]
+        held = [await one.listed(f"gateway=g{n % 3}", client) for n, client in enumerate(clients[:3])]
+        held += [await one.listed("", client) for client in clients[3:]]
+        one.server.hear(False, [{"name": "s-0", "status": "DELETED", "address": "127.0.0.1:1", "service": "s"}])
+        monkeypatch.setattr(server_module, "SLICE_S", 0.0)  # one each
+        monkeypatch.setattr(one.server.feed, "answer", noted)
+        tick()
+        queries = [f"gateway=g{n}" * (n < 3) + f"&from={each['index']}" for n, each in enumerate(held)]
+        for client, query in zip(clients, queries, strict=True):
+            client.send(f"GET /registry/instances?{query} HTTP/1.1\r\nHost: r\r\n\r\n".encode())
+        for number, client in enumerate(clients):
+            told: dict[str, Any] = json.loads((await client.answer()).body)
+            assert names(told) == ({} if number == 1 else {"s-0": "DELETED"})
+        assert len(turns) == len(set(turns)) == 8
+
+
+@on_loop
+async def test_calls_leave_no_cycles() -> None:
+    """The collector looks only through what is new, and never again (Server.sweep)."""
+
+    def callers() -> int:
+        return sum(isinstance(each, server_module.Caller) for each in gc.get_objects())
+
+    async with desk() as one:
+        before = callers()
+        gc.disable()
+        try:
+            for sent in (b"GET /health/ready HTTP/1.1", b"GET /registry/instances HTTP/1.1", b"x"):
+                client = await one.client()
+                client.send(sent + b"\r\n\r\n")
+                await client.answer()
+                client.close()
+            held = await one.listed("gateway=g0")
+            client = await one.client()
+            client.send(f"GET /registry/instances?gateway=g0&from={held['index']}{HOLD} HTTP/1.1\r\n\r\n".encode())
+            await until(lambda: any(caller.ask for caller in one.server.callers))
+            client.close()
+            await until(lambda: not one.server.callers)
+            await until(lambda: callers() == before)
+        finally:
+            gc.enable()
+
+
 def test_a_large_whole_is_paid_for_by_those_after_it() -> None:
     meter = Meter(rate=10.0, burst=2.0)
     assert meter.wait_s(100.0) == 0.0
@@ -548,6 +780,56 @@
         assert (await one.state())["roster"] != digest
 
 
+@on_loop
+async def test_a_change_and_another_file_that_come_while_a_roster_is_taken_in_are_not_lost(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = tmp_path / "roster.json"
+    async with desk() as one:
+        server, feed = one.server, one.server.feed
+        rereader, sound = Rereader(str(file), server), feed.prepare
+        clients = [await one.client() for _ in range(2)]
+        held = [await one.listed(f"gateway=g{n}", client) for n, client in enumerate(clients)]
+        forever = "&hold_ms=60000"  # longer than this test may take
+        waits = [
+            asyncio.create_task(one.listed(f"gateway=g{n}&from={held[n]['index']}{forever}", clients[n]))
+            for n in range(2)
+        ]
+        await until(lambda: sum(caller.ask is not None for caller in server.callers) == 2)
+        others: list[dict[str, str]] = []
+
+        def prepare(roster: Roster) -> Generator[None, None, Groups]:
+            steps = sound(roster)
+            next(steps)
+            if not others:
+                others.append({})
+                server.hear(False, [{"name": "t-0", "status": "DELETED", "address": "127.0.0.1:1", "service": "t"}])
+                file.write_bytes(ROSTER.replace(b'["s"]', b'["t"]'))
+                rereader.ask()
+                for gateway in ("g0", "g1"):  # by the old one, though most of the other is worked out
+                    answer = feed.answer(Asker(gateway), None)
+                    assert answer is not None
+                    others[0] |= {json.loads(each)["name"]: gateway for each in answer.entries}
+            return (yield from steps)
+
+        monkeypatch.setattr(feed, "prepare", prepare)
+        file.write_bytes(ROSTER.replace(b'["t"]', b'["s"]'))
+        rereader.ask()
+        await until(lambda: others and rereader.reading is None)
+        assert others[0] == {f"s-{n}": "g0" for n in range(4)} | {f"t-{n}": "g1" for n in range(1, 4)}
+        last = parse_roster(file.read_bytes(), "roster")
+        assert feed.roster.digest == last.digest
+        for n, wait in enumerate(waits):
+            told = await wait
+            while set(names(told)) != {"t-1", "t-2", "t-3"}:  # however its answers were cut by the two
+                told = await one.listed(f"gateway=g{n}", clients[n])
+            waits[n] = asyncio.create_task(one.listed(f"gateway=g{n}&from={told['index']}{forever}", clients[n]))
+        await until(lambda: sum(caller.ask is not None for caller in server.callers) == 2)
+        await until(lambda: server.passing is None)
+        one.change(("t-1", "DRAINING"))
+        assert [names(await wait) for wait in waits] == [{"t-1": "DRAINING"}] * 2, "found by what it is now before"
+
+
 # The file and the command
 
 FILE = 'name = "relay-1"\nlisten = "127.0.0.1:1"\ndiscovery = "127.0.0.1:2"\nroster = "roster.json"\n'
