Capacity: p99 added behind a real relay, in rounds; the first list has a line of its own

With the mechanism the budget's p99 added was the direct curve at the subset's size: no relay was in it.

All sizes in turn, three times: the median counts, the spread is a row's and the page's, with the figure as a multiple of that before the fewest hosts. Both lines of p99 take these rows with the mechanism.

`whole_first_stop_ms` is a row and a line of its own, without a limit: nobody is served before a first list.

Figures for the page are still to be taken; its tables are made anew with the new lines' names.

--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -106,6 +106,9 @@
         rows = []
         for name, row in self.rows.items():
             points = ", ".join(f"{figure(size)}: {figure(value)}" for size, value in row["points"])
+            if spread := row.get("spread"):
+                spans = ", ".join(f"{figure(low)} to {figure(high)}" for _, low, high in spread)
+                points += f"; of the rounds {spans}"
             kind = {"worse": f"worse, to the power of {row['coefficients'][1]:.2f}"}.get(row["fit"], row["fit"])
             far = "measured" if row["extrapolation"] <= 1 else f"{figure(row['extrapolation'])} times"
             cost = row["cost"] + (" (an estimate)" if row["estimate"] else "")
@@ -181,7 +184,21 @@
         return table(heads, rows, right=(2, 3, 4, 5, 6))
 
     def table_requests(self) -> str:
-        return self.of_role("gateway, requests")
+        return self.of_role("gateway, requests") + self.relayed()
+
+    def relayed(self) -> str:
+        """p99 added behind a relay, by hosts: the median of the rounds, their spread, and beside the least size."""
+        rows = []
+        for name in ("relayed_p99_added_ms", "relayed_changes_p99_added_ms"):
+            row = self.rows.get(name)
+            if row is None:
+                continue
+            least = row["points"][0][1]
+            for (size, value), (_, low, high) in zip(row["points"], row["spread"], strict=True):
+                times = f"{value / least:.2f}" if least else ""
+                rows.append((row["cost"], figure(size), figure(value), f"{figure(low)} to {figure(high)}", times))
+        heads = ("row", "hosts", "median, ms", "of the rounds, ms", "times that of the fewest hosts")
+        return "\n" + table(heads, rows, right=(1, 2, 4)) if rows else ""
 
     def table_hosts(self) -> str:
         return self.of_role("gateway, hosts")
--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -17,6 +17,7 @@
     sizes: tuple[int, ...]
     quick: tuple[int, ...]
     plan: int  # the plan's size
+    rounds: int = 1  # all sizes in turn, so often; the median counts, and the spread is kept
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,6 +37,7 @@
 PARTS: Final = (
     # The longest first: what is not reached in time is what comes last.
     Part("gateway", "hosts", HOSTS, (100, 200, 500, 1_000), PLAN.hosts),
+    Part("relayed", "hosts", HOSTS, (100, 200, 400, 800), PLAN.hosts, rounds=3),
     Part("list", "hosts", (200, 1_000, 2_000, 5_000, 10_000, 20_000, 38_000), (200, 500, 1_000, 2_000, 4_000, 6_000),
          PLAN.hosts),
     Part("tenants", "tenants", (170, 1_700, 17_000, 170_000), (170, 500, 1_700, 5_000), PLAN.tenants),
@@ -122,4 +124,13 @@
     Spec("routes_kib", "routes", _SETTINGS, "state that routes would need", "KiB", estimate=True),
     Spec("routes_bytes", "routes", _SETTINGS, "bytes of a file of routes", "bytes", estimate=True),
     Spec("services_kib", "services", _SETTINGS, "state that services would need", "KiB", estimate=True),
+    Spec("whole_first_stop_ms", "list", _HOSTS, "longest stop by the first list of one that starts", "ms"),
+    Spec("relayed_p99_added_ms", "relayed", _REQUESTS, "p99 added behind a relay, nothing changes", "ms"),
+    Spec("relayed_changes_p99_added_ms", "relayed", _REQUESTS,
+         "the same, hosts are restarted at ten times the day's rate of the whole fleet", "ms"),
+    Spec("relayed_p99_direct_ms", "relayed", _REQUESTS, "p99 sent directly meanwhile, nothing changes", "ms"),
+    Spec("relayed_changes_p99_direct_ms", "relayed", _REQUESTS, "the same, hosts are restarted", "ms"),
+    Spec("relayed_refused", "relayed", _REQUESTS, "share of requests not served behind a relay, nothing changes",
+         "share"),
+    Spec("relayed_changes_refused", "relayed", _REQUESTS, "the same, hosts are restarted", "share"),
 )
--- a/benchmarks/capacity/world.py
+++ b/benchmarks/capacity/world.py
@@ -6,6 +6,7 @@
 
 It may not know the gateway. Each of PORTS listeners answers any request at once; the hosts of the list share them.
 Discovery speaks the published form; `GET /changes?count=5&every_ms=333` makes it change so many hosts so often (0: no
+more), `GET /restarts?every_ms=350` makes one host after another drain, go and come back, one change so often (0: no
 more), `GET /anew` makes it begin anew, so that whoever asks next is told the whole list.
 Its whole lists are encoded once: what it costs is no figure of any product.
 """
@@ -14,6 +15,7 @@
 
 import asyncio
 import json
+import random
 import sys
 from typing import Any, cast
 from urllib.parse import parse_qs, urlsplit
@@ -64,11 +66,15 @@
         self.whole = encoded(1, True, listed)
         self.waiting: list[Caller] = []
         self.changing: asyncio.TimerHandle | None = None
+        self.dice = random.Random(1)
+        self.restarted: dict[str, Any] = {}  # the host that drains, or is gone
+        self.starts = 0
 
     def begin_anew(self) -> None:
-        """A version that nobody has, and no history: all are told the whole list."""
+        """A version that nobody has, and no history: all are told the whole list, with all hosts."""
         self.index += HISTORY
         self.history.clear()
+        self.restarted = {}
         self.whole = encoded(self.index, True, self.listed)
         self.tell()
 
@@ -82,11 +88,34 @@
         self.at += count
         # Another weight: it costs a gateway what any change costs, and no host leaves meanwhile.
         changed = [entry | {"weight": 1.0 + 0.001 * (self.at % 7)} for entry in names]
+        self.add(changed)
+        self.changing = asyncio.get_running_loop().call_later(every_s, self.change, count, every_s)
+
+    def restart(self, every_s: float) -> None:
+        """The next change of one host after another: it drains, is gone, is back with a new start."""
+        if self.changing is not None:
+            self.changing.cancel()
+            self.changing = None
+        if not every_s:
+            return
+        self.changing = asyncio.get_running_loop().call_later(every_s, self.restart, every_s)
+        host = self.restarted
+        if not host:
+            self.restarted = self.dice.choice(self.listed) | {"status": "DRAINING"}
+            self.add([self.restarted])
+        elif host["status"] == "DRAINING":
+            self.restarted = host | {"status": "DELETED"}
+            self.add([self.restarted])
+        else:
+            self.starts += 1
+            self.restarted = {}
+            self.add([host | {"status": "SERVING", "since_ms": 1_000_000 + self.starts}])
+
+    def add(self, changed: list[dict[str, Any]]) -> None:
         self.history.append((self.index, encoded(self.index + 1, False, changed)))
         del self.history[:-HISTORY]
         self.index += 1
         self.tell()
-        self.changing = asyncio.get_running_loop().call_later(every_s, self.change, count, every_s)
 
     def tell(self) -> None:
         waiting, self.waiting = self.waiting, []
@@ -125,6 +154,9 @@
         if url.path == "/changes":
             self.discovery.change(query["count"], query["every_ms"] / 1000)
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        elif url.path == "/restarts":
+            self.discovery.restart(query["every_ms"] / 1000)
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         elif url.path == "/anew":
             self.discovery.begin_anew()
             self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import math
 from pathlib import Path
@@ -9,13 +10,16 @@
 
 import pytest
 
-from benchmarks.capacity import budget
+from benchmarks.capacity import budget, slopes
 from benchmarks.capacity.budget import LINES, Line, Load, share_at, subset_hosts, work_out
 from benchmarks.capacity.fit import Curve, fit
-from benchmarks.capacity.page import MARKED, PAGE, SLOPES, current, page_of
+from benchmarks.capacity.page import MARKED, PAGE, SLOPES, Page, current, page_of
 from benchmarks.capacity.plan import PLAN
 from benchmarks.capacity.rows import PARTS, SPECS, Part
 from benchmarks.capacity.slopes import Measured, measure, read, rows_of, run_part
+from benchmarks.capacity.world import Discovery, entries
+
+from tests.sockets import on_loop, until
 
 SIZES = (200.0, 2_000.0, 10_000.0, 38_000.0)
 NOISE = (1.04, 0.97, 1.03, 0.98)
@@ -112,6 +116,25 @@
     assert subset_hosts(1.0, before_all=True) > 5 * subset_hosts(1.0)
 
 
+def test_p99_with_the_mechanism_is_what_was_measured_behind_relays_not_the_direct_curve() -> None:
+    direct, behind = Curve("constant", 9.0, 0.0, 0.0), Curve("line", 1.0, 1 / PLAN.hosts, 0.0)
+    curves = {"quiet_p99_added_ms": direct, "relayed_p99_added_ms": behind,
+              "changes_p99_added_ms": direct, "relayed_changes_p99_added_ms": behind}  # fmt: skip
+    lines = tuple(line for line in LINES if line.what.startswith("p99 added"))
+    assert [(f.value, f.rows) for f in work_out(curves, False, lines)] == [
+        (9.0, ("quiet_p99_added_ms",)), (9.0, ("changes_p99_added_ms",)),
+    ]  # fmt: skip
+    with_it = work_out(curves, True, lines)
+    assert [f.value for f in with_it] == pytest.approx([2.0, 2.0])
+    assert [f.rows for f in with_it] == [("relayed_p99_added_ms",), ("relayed_changes_p99_added_ms",)]
+
+
+def test_a_first_list_has_no_limit_and_one_that_comes_while_requests_are_served_has() -> None:
+    """Nobody is served before the first."""
+    limits = {line.rows: line.limit for line in LINES if line.rows in (("whole_stop_ms",), ("whole_first_stop_ms",))}
+    assert limits == {("whole_stop_ms",): budget.STOP_MS, ("whole_first_stop_ms",): None}
+
+
 # What is measured
 
 
@@ -130,6 +153,40 @@
     assert "did not end" in str(run_part("routes", 20, 0.5, 0.01))
 
 
+def test_rounds_are_played_in_turn_and_their_median_and_spread_are_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    played: list[int] = []
+
+    def play(name: str, size: int, load_s: float, limit_s: float) -> dict[str, float] | str:
+        played.append(size)
+        if size == 4 and played.count(4) == 2:
+            return "failed: once"
+        return {"relayed_p99_added_ms": size * (1.0, 5.0, 2.0)[played.count(size) - 1]}
+
+    monkeypatch.setattr(slopes, "run_part", play)
+    part = Part("relayed", "hosts", (1, 2, 3, 4), (), 8, rounds=3)
+    found = measure([part], quick=False, limit_s=60.0)
+    assert played == [1, 2, 3, 4] * 3 and found.lacking == ["relayed at 4 hosts: failed: once"]
+    (row,) = rows_of(found, {}, [spec for spec in SPECS if spec.name == "relayed_p99_added_ms"])
+    assert row["points"] == [[1.0, 2.0], [2.0, 4.0], [3.0, 6.0], [4.0, 6.0]]  # of two, the middle
+    assert row["spread"] == [[1.0, 1.0, 5.0], [2.0, 2.0, 10.0], [3.0, 3.0, 15.0], [4.0, 4.0, 8.0]]
+    page = Page({row["name"]: row | {"commit": "c"}})
+    assert "| 3 | 6 | 3 to 15 | 3.00 |" in page.table_requests()
+
+
+@on_loop
+async def test_hosts_of_the_measured_world_restart_one_after_another() -> None:
+    discovery = Discovery(entries(20, []))
+    discovery.restart(0.001)
+    await until(lambda: len(discovery.history) >= 6)
+    discovery.restart(0.0)
+    count = len(discovery.history)
+    told = [json.loads(data.partition(b"\r\n\r\n")[2])["endpoints"][0] for _, data in discovery.history[:6]]
+    assert [one["status"] for one in told] == ["DRAINING", "DELETED", "SERVING"] * 2
+    assert len({one["name"] for one in told[:3]}) == 1 and told[2]["since_ms"] < told[5]["since_ms"]
+    await asyncio.sleep(0.01)
+    assert len(discovery.history) == count and discovery.changing is None
+
+
 def test_too_few_sizes_make_no_row() -> None:
     found = Measured({("news", size): {"news_all_ms": 80.0, "news_bytes_per_s": 1.0} for size in (25, 50, 100)})
     assert rows_of(found, {}) == []
