--- a/benchmarks/capacity/run.py
+++ b/benchmarks/capacity/run.py
@@ -1,11 +1,13 @@
 """The scale run: as near to the plan's size as one machine gets, played and judged from outside (issue 42).
 
-    python -m benchmarks.capacity run [--json FILE] [--small] [--relays N] [--gateways N] [--hosts N] [--steps A,B]
+    python -m benchmarks.capacity run [--json FILE] [--small] [--relays N] [--near] [--gateways N] [--hosts N]
+                                      [--steps A,B]
 
 Hollow gateways (hollow.py), some to a process, beside real ones under the plan's load; discovery's stand-in, hosts
 and clients; control-plane relays between, 12 if not said otherwise (`--relays 0`: each gateway asks discovery, and
 holds the whole list). Three sizes a decade apart, the largest as near to the plan's as memory and `--cores` allow:
-what bounds it is printed. `--small` is for CI: one size without relays and one with two, under a minute.
+what bounds it is printed. `--near`: gateways name the relays of their own region alone. `--small` is for CI: one size
+without relays and one with two, under a minute.
 
 Judged by one clock: how long from a change at discovery until the LAST gateway that should have it has it (those that
 held the hosts; when they come back, those that had them before); bytes and calls at the hollow ones' sockets; what
@@ -64,7 +66,9 @@
         wanted = [(max(REAL + 4, round(gateways * x)), max(60, round(hosts * x)), relays) for x in SHARES]
     made = []
     for gateways, hosts, relays in wanted:
-        relays = min(relays, max(RELAYS_LEAST, gateways // EACH_RELAY))
+        # Near ones: two a region, as one that is killed is not to leave a region to discovery itself.
+        least = RELAYS_LEAST * (PLAN.regions if options.near else 1)
+        relays = min(relays, max(least, gateways // EACH_RELAY))
 
         def held_by(count: int, hosts: int = hosts, relays: int = relays) -> float:
             return held_about(count, hosts) if relays else float(hosts)
@@ -109,7 +113,7 @@
         )
         pace = SMALL_PACE if self.options.small else 1.0
         with tempfile.TemporaryDirectory() as folder:
-            world = World(made, Path(folder), self.options.seed, pace)
+            world = World(made, Path(folder), self.options.seed, pace, self.options.near)
             watching = asyncio.create_task(self.watch(world, asyncio.current_task()))
             try:
                 began_s = time.monotonic()
@@ -224,6 +228,7 @@
     parser.add_argument("--relays", type=int, default=PLAN.control_machines, metavar="N")
     parser.add_argument("--gateways", type=int, default=PLAN.gateways, metavar="N")
     parser.add_argument("--hosts", type=int, default=PLAN.hosts, metavar="N")
+    parser.add_argument("--near", action="store_true", help="gateways name the relays of their own region alone")
     parser.add_argument("--steps", default="", metavar="NAME,...", help=", ".join(step.name for step in STEPS))
     half = max(1.0, (os.cpu_count() or 2) / 2)
     parser.add_argument("--cores", type=float, default=half, help="for hollow gateways and relays, quiet")
--- a/benchmarks/capacity/run_world.py
+++ b/benchmarks/capacity/run_world.py
@@ -93,10 +93,11 @@
 
 
 class World:
-    """Everything at one size. `pace`: how long steps are, 1: in full."""
+    """Everything at one size. `pace`: how long steps are, 1: in full; `near`: gateways name their region's relays
+    alone, else all."""
 
-    def __init__(self, size: Size, folder: Path, seed: int, pace: float) -> None:
-        self.size, self.folder, self.seed, self.pace = size, folder, seed, pace
+    def __init__(self, size: Size, folder: Path, seed: int, pace: float, near: bool = False) -> None:
+        self.size, self.folder, self.seed, self.pace, self.near = size, folder, seed, pace, near
         self.fleet = twinned(fleet(size.gateways, size.hosts), size.real)
         self.hosts = {host.name: host for host in self.fleet.hosts}
         self.racks = racks(self.fleet)
@@ -175,7 +176,11 @@
             return {}
         # Before more than that, a gateway leaves them to the roster.
         services = [*front.services] if len(front.services) <= SERVICES_MOST else []
-        return {"relays": {"addresses": [_text(target) for target in targets[1:]], "services": services}}
+        addresses = [
+            _text(target) for relay, target in zip(self.relays, targets[1:], strict=True)
+            if not self.near or front.zone in self.fleet.regions[relay.region]
+        ]  # fmt: skip
+        return {"relays": {"addresses": addresses, "services": services}}
 
     async def make_hollow(self, targets: dict[str, list[Address]]) -> None:
         fronts = self.fleet.gateways
@@ -421,7 +426,7 @@
 
         row: dict[str, Any] = {
             "step": step.name, "share": round(self.size.share, 4), "gateways": self.size.gateways,
-            "hosts": self.size.hosts, "real": self.size.real, "relays": self.size.relays,
+            "hosts": self.size.hosts, "real": self.size.real, "relays": self.size.relays, "near": self.near,
             "seconds": round(seconds, 2), "last_s": quantile(self.times_s, 1.0), "p50_s": quantile(self.times_s, 0.5),
             "p99_s": quantile(self.times_s, 0.99), "limit_s": step.limit_s, "had": len(self.times_s) or None,
             "missing": self.missing, "some": self.some[:3], "emptied": grown("emptied"),
