--- a/benchmarks/capacity/rows.py
+++ b/benchmarks/capacity/rows.py
@@ -144,7 +144,6 @@
     Spec("routes_kib", "routes", _SETTINGS, "state that routes would need", "KiB", estimate=True),
     Spec("routes_bytes", "routes", _SETTINGS, "bytes of a file of routes", "bytes", estimate=True),
     Spec("services_kib", "services", _SETTINGS, "state that services would need", "KiB", estimate=True),
-    Spec("whole_first_stop_ms", "list", _HOSTS, "longest stop by the first list of one that starts", "ms"),
     Spec("relayed_p99_added_ms", "relayed", _REQUESTS, "p99 added behind a relay, nothing changes", "ms"),
     Spec("relayed_changes_p99_added_ms", "relayed", _REQUESTS,
          "the same, hosts are restarted at ten times the day's rate of the whole fleet", "ms"),
