Scale run: the small run plays both steps of a cut discovery, with near relays

`--small` has four relays, near ones, and plays `cut` and `differ` there. That alone would leave nothing for the join, as a region's gateways hold its own hosts: each half now also changes the weight of hosts of the other region, as staff may say at either side, which comes at the join.

--- a/benchmarks/capacity/run.py
+++ b/benchmarks/capacity/run.py
@@ -7,7 +7,7 @@
 and clients; control-plane relays between, 12 if not said otherwise (`--relays 0`: each gateway asks discovery, and
 holds the whole list). Three sizes a decade apart, the largest as near to the plan's as memory and `--cores` allow:
 what bounds it is printed. `--near`: gateways name the relays of their own region alone. `--small` is for CI: one size
-without relays and one with two, under a minute.
+without relays and one with four, near ones, under a minute.
 
 Judged by one clock: how long from a change at discovery until the LAST gateway that should have it has it (those that
 held the hosts; when they come back, those that had them before); bytes and calls at the hollow ones' sockets; what
@@ -48,7 +48,7 @@
 SMALL_S: Final = 58.0
 END_S: Final = 8.0  # of that for the end
 SHARES: Final = (0.01, 0.1, 1.0)  # of the largest size
-SMALL_SIZES: Final = ((8, 60, 0), (24, 240, 2))  # gateways, hosts, relays
+SMALL_SIZES: Final = ((8, 60, 0), (24, 240, 4))  # gateways, hosts, relays
 RELAYS_LEAST: Final = 2
 EACH_RELAY: Final = 16  # gateways, at the least, where relays may be fewer than asked for
 REAL: Final = 2  # real gateways, at each size: what they add is compared
@@ -234,6 +234,7 @@
     parser.add_argument("--cores", type=float, default=half, help="for hollow gateways and relays, quiet")
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args(arguments)
+    options.near |= options.small
     options.steps = [name for name in options.steps.split(",") if name]
     known = [step.name for step in STEPS]
     for name in options.steps:
--- a/benchmarks/capacity/run_steps.py
+++ b/benchmarks/capacity/run_steps.py
@@ -212,7 +212,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Changed:
-    """What changes at one half while discovery is in two: a rack drains, another is gone, hosts come back."""
+    """What changes at one half while discovery is in two: a rack drains, other hosts are gone, some come back."""
 
     half: str
     is_used: bool  # by the real gateways: the rack that drains
@@ -234,6 +234,18 @@
     return Changed(half, is_used, mine, large[0][:FEW_HOSTS], large[1][:FEW_HOSTS])
 
 
+def of_the_other(world: World, half: str, plays: list[Changed]) -> list[str]:
+    """Hosts of another region that nothing else is said of: their weight changes at this half, as staff may say at
+    either side. Who has them learns of it at the join, unless it asks this half."""
+    taken = {name for play in plays for name in play.drains + play.goes + play.returns}
+    near = world.fleet.regions[half]
+    far = [
+        name for name, host in world.hosts.items()
+        if host.zone not in near and host.service in LARGE and name not in taken
+    ]  # fmt: skip
+    return far[-FEW_HOSTS:]
+
+
 async def in_two(world: World, meanwhile: Callable[[World], Awaitable[None]], leaves: bool) -> None:
     """Discovery is cut in two, one half a region; each tells its region's relays of changes of its own, and at the
     join takes up the other's. Each gateway may ask the relays of both regions.
@@ -262,6 +274,10 @@
         returns = await world.change(play.returns, "SERVING", like=noted, anew=True, half=play.half)
         names += [drains, goes, returns]
         await world.had([drains, goes, returns], within_s=WORST_S, half=play.half)
+    far = {play.half: of_the_other(world, play.half, plays) for play in plays}
+    for half, hosts in far.items():  # last: what shifts windows there has been told
+        names.append(await world.change(hosts, "SERVING", HEAVIER, half=half))
+        await world.had(names[-1:], within_s=WORST_S, half=half)
     world.more |= {
         "had_while_cut": len(world.times_s), "missing_while_cut": world.missing, "moved_while_cut": world.moved,
         "last_while_cut_s": quantile(world.times_s, 1.0),
@@ -278,6 +294,7 @@
     world.back([name for play in plays for name in play.drains])
     # As it was before, at once: who held these then is to have them again.
     times_s, world.times_s = world.times_s, []
+    await world.had([await world.change([name for hosts in far.values() for name in hosts], "SERVING")])
     await world.had([await world.change(ended, "SERVING", like=noted, anew=True)])
     world.times_s = times_s
 
@@ -342,5 +359,5 @@
     Step("slow", slow_readers, 6, SOON_S, always=False),
     Step("killed", relay_killed, 12, SOON_S, relays=True),
     Step("all-killed", relays_killed, 10, WORST_S, always=False, relays=True),
-    Step("differ", relays_differ, 24, WORST_S, always=False, small=0, relays=True),
+    Step("differ", relays_differ, 24, WORST_S, always=False, relays=True),
 )
--- a/tests/test_capacity_run.py
+++ b/tests/test_capacity_run.py
@@ -46,7 +46,7 @@
     # The size, the step, and how many gateways should have each change and had it.
     rows = {(row["gateways"], row["step"]): row for row in made["steps"]}
     both = ["quiet", "all", "zone", "wave"]
-    behind = ["drain", "down", "killed", "all-killed", "cut", "slow"]
+    behind = ["drain", "down", "killed", "all-killed", "cut", "slow", "differ"]
     assert sorted(rows) == sorted([(8, name) for name in both] + [(24, name) for name in both + behind])
     for gateways, _, relays in run.SMALL_SIZES:
         hollow = gateways - run.REAL
@@ -58,9 +58,10 @@
         assert wave["started"] == round(0.7 * hollow) == wave["had"]
     assert all(row["requests"] > 20 and row["added_p99_ms"] is not None for row in rows.values())
     # Nobody had to be told twice for the relays that were lost, nor by those that were cut off alone.
-    assert rows[24, "cut"]["had"] and rows[24, "killed"]["had"] and rows[24, "all-killed"]["had"]
+    assert all(rows[24, name]["had"] for name in ("cut", "differ", "killed", "all-killed"))
     # Each half's changes came to who asked its relays while discovery was cut in two, and to all at the join.
-    assert rows[24, "cut"]["had_while_cut"] and not rows[24, "cut"]["moved_while_cut"]
+    for name in ("cut", "differ"):
+        assert rows[24, name]["had_while_cut"] and not rows[24, name]["moved_while_cut"]
     # The same eyes saw both: what is asked for in a second, and a zone's worth of changes.
     for gateways, _, _ in run.SMALL_SIZES:
         assert abs(rows[gateways, "quiet"]["calls_to_real"] - 1) < run.WITHIN
