Capacity page: columns of a cut discovery and of stops while a relay is dead

The scale run's table has had_while_cut, last_while_cut_s, undone and kill_stop_ms where a run has them, and says which runs had near relays. kill_stop_ms is the longest stop of a hollow loop from a relay's death until all had the change: what of last_s is the machine's.

--- a/benchmarks/capacity/page.py
+++ b/benchmarks/capacity/page.py
@@ -29,7 +29,7 @@
 RUN_COLUMNS: Final = (
     "gateways", "hosts", "step", "last_s", "limit_s", "p50_s", "p99_s", "had", "bytes_per_s", "calls_per_s",
     "cpu_share", "apply_ms", "stop_ms", "relay_stop_ms", "hollow_mb", "all_mb", "added_p99_ms", "direct_p99_ms",
-    "lost", "refused",
+    "lost", "refused", "had_while_cut", "last_while_cut_s", "undone", "kill_stop_ms",
 )  # fmt: skip
 SCATTER: Final = 0.3  # a relative residual beyond this is said wherever the curve is used
 MARKED: Final = re.compile(r"<!-- table (\S+) -->\n.*?<!-- end -->", flags=re.S)
@@ -260,7 +260,8 @@
         for run in self.runs:
             faults, steps = run.get("faults", []), run.get("steps", [])
             relays = ", ".join(str(count) for count in sorted({step.get("relays", 0) for step in steps}))
-            head = f"{relays or 'no step, no'} relays, {run.get('cores')} cores, {run.get('build')}"
+            near = " near" if any(step.get("near") for step in steps) else ""
+            head = f"{relays or 'no step, no'}{near} relays, {run.get('cores')} cores, {run.get('build')}"
             head += f", {len(faults)} faults" + "".join(f"; {text(fault)}" for fault in faults)
             keys = [key for key in RUN_COLUMNS if any(step.get(key) is not None for step in steps)]
             made.append(head + ":\n\n" + table(keys, [[text(step.get(key)) for key in keys] for step in steps]))
--- a/benchmarks/capacity/run.py
+++ b/benchmarks/capacity/run.py
@@ -196,7 +196,7 @@
     "last_s", "p99_s", "limit_s", "had", "bytes_per_s", "calls_per_s", "cpu_share", "stop_ms", "relay_stop_ms",
     "hollow_busy", "lost", "starved", "added_p99_ms", "direct_p99_ms", "last_send_s",
     "calls_to_real", "bytes_to_real", "refused", "had_while_cut", "missing_while_cut", "moved_while_cut",
-    "last_while_cut_s", "undone", "kills",
+    "last_while_cut_s", "undone", "kills", "kill_stop_ms",
 )  # fmt: skip
 COLUMNS: Final = (
     ("gateways", "gateways"), ("hosts", "hosts"), ("step", "step"), ("last has it s", "last_s"), ("limit", "limit_s"),
--- a/benchmarks/capacity/run_steps.py
+++ b/benchmarks/capacity/run_steps.py
@@ -9,7 +9,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 from benchmarks.capacity.plan import PLAN
 from benchmarks.capacity.run_load import quantile
@@ -178,7 +178,7 @@
     How many asked each, when the last gateway had the change, and the longest that a hollow loop stood until then:
     what a gateway of its own would not have met.
     """
-    kills = []
+    kills: list[dict[str, Any]] = []
     for relay in world.relays[:KILLED]:
         asked, killed_us, before = await world.asking(relay), clock_us(), len(world.times_s)
         relay.kill()
@@ -191,7 +191,7 @@
         relay.start()
         await world.until(world.all_relays_ready, "a relay that was started again is not ready")
         await world.settle()
-    world.more["kills"] = kills
+    world.more |= {"kills": kills, "kill_stop_ms": max(kill["stop_ms"] for kill in kills)}
 
 
 async def relays_killed(world: World) -> None:
