--- a/benchmarks/capacity/run.py
+++ b/benchmarks/capacity/run.py
@@ -1,11 +1,13 @@
 """The scale run: as near to the plan's size as one machine gets, played and judged from outside (issue 42).
 
-    python -m benchmarks.capacity run [--json FILE] [--small] [--relays N] [--gateways N] [--hosts N] [--steps A,B]
+    python -m benchmarks.capacity run [--json FILE] [--small] [--relays N] [--near] [--gateways N] [--hosts N]
+                                      [--steps A,B]
 
 Hollow gateways (hollow.py), some to a process, beside real ones under the plan's load; discovery's stand-in, hosts
 and clients; control-plane relays between, 12 if not said otherwise (`--relays 0`: each gateway asks discovery, and
 holds the whole list). Three sizes a decade apart, the largest as near to the plan's as memory and `--cores` allow:
-what bounds it is printed. `--small` is for CI: one size without relays and one with two, under a minute.
+what bounds it is printed. `--near`: gateways name the relays of their own region alone. `--small` is for CI: one size
+without relays and one with four, near ones, under a minute.
 
 Judged by one clock: how long from a change at discovery until the LAST gateway that should have it has it (those that
 held the hosts; when they come back, those that had them before); bytes and calls at the hollow ones' sockets; what
@@ -46,7 +48,7 @@
 SMALL_S: Final = 58.0
 END_S: Final = 8.0  # of that for the end
 SHARES: Final = (0.01, 0.1, 1.0)  # of the largest size
-SMALL_SIZES: Final = ((8, 60, 0), (24, 240, 2))  # gateways, hosts, relays
+SMALL_SIZES: Final = ((8, 60, 0), (24, 240, 4))  # gateways, hosts, relays
 RELAYS_LEAST: Final = 2
 EACH_RELAY: Final = 16  # gateways, at the least, where relays may be fewer than asked for
 REAL: Final = 2  # real gateways, at each size: what they add is compared
@@ -64,7 +66,9 @@
         wanted = [(max(REAL + 4, round(gateways * x)), max(60, round(hosts * x)), relays) for x in SHARES]
     made = []
     for gateways, hosts, relays in wanted:
-        relays = min(relays, max(RELAYS_LEAST, gateways // EACH_RELAY))
+        # Near ones: two a region, as one that is killed is not to leave a region to discovery itself.
+        least = RELAYS_LEAST * (PLAN.regions if options.near else 1)
+        relays = min(relays, max(least, gateways // EACH_RELAY))
 
         def held_by(count: int, hosts: int = hosts, relays: int = relays) -> float:
             return held_about(count, hosts) if relays else float(hosts)
@@ -109,10 +113,12 @@
         )
         pace = SMALL_PACE if self.options.small else 1.0
         with tempfile.TemporaryDirectory() as folder:
-            world = World(made, Path(folder), self.options.seed, pace)
+            world = World(made, Path(folder), self.options.seed, pace, self.options.near)
             watching = asyncio.create_task(self.watch(world, asyncio.current_task()))
             try:
+                began_s = time.monotonic()
                 await world.start()
+                self.say(f"  .. started in {time.monotonic() - began_s:.1f} s")
                 for step in self.steps(made):
                     if self.left_s < step.seconds * pace:
                         self.faults.append(f"{made.gateways} gateways: {step.name}: not played, the time is over")
@@ -144,6 +150,13 @@
         where = f"{row['gateways']} gateways: {row['step']}"
         if row["missing"]:
             self.faults.append(f"{where}: {row['missing']} gateways lack a change: {row['some']}")
+        if row.get("missing_while_cut"):
+            self.faults.append(f"{where}: {row['missing_while_cut']} lack a change of their own half: {row['some']}")
+        if row.get("undone"):
+            self.faults.append(f"{where}: {row['undone']} gateways were told that a host serves that had left: "
+                               f"{row['some']}")
+        if row.get("emptied"):
+            self.faults.append(f"{where}: {row['emptied']} lists left a gateway without a host")
         for key, what in (("lost", "lost"), ("failed", "failed")):
             if row[key]:
                 self.faults.append(f"{where}: {row[key]} requests {what}")
@@ -182,7 +195,8 @@
 SAID: Final = (
     "last_s", "p99_s", "limit_s", "had", "bytes_per_s", "calls_per_s", "cpu_share", "stop_ms", "relay_stop_ms",
     "hollow_busy", "lost", "starved", "added_p99_ms", "direct_p99_ms", "last_send_s",
-    "calls_to_real", "bytes_to_real", "refused",
+    "calls_to_real", "bytes_to_real", "refused", "had_while_cut", "missing_while_cut", "moved_while_cut",
+    "last_while_cut_s", "undone", "kills", "kill_stop_ms",
 )  # fmt: skip
 COLUMNS: Final = (
     ("gateways", "gateways"), ("hosts", "hosts"), ("step", "step"), ("last has it s", "last_s"), ("limit", "limit_s"),
@@ -214,11 +228,13 @@
     parser.add_argument("--relays", type=int, default=PLAN.control_machines, metavar="N")
     parser.add_argument("--gateways", type=int, default=PLAN.gateways, metavar="N")
     parser.add_argument("--hosts", type=int, default=PLAN.hosts, metavar="N")
+    parser.add_argument("--near", action="store_true", help="gateways name the relays of their own region alone")
     parser.add_argument("--steps", default="", metavar="NAME,...", help=", ".join(step.name for step in STEPS))
     half = max(1.0, (os.cpu_count() or 2) / 2)
     parser.add_argument("--cores", type=float, default=half, help="for hollow gateways and relays, quiet")
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args(arguments)
+    options.near |= options.small
     options.steps = [name for name in options.steps.split(",") if name]
     known = [step.name for step in STEPS]
     for name in options.steps:
