The picture of an overload: goodput by offered load, before hosts that choke

The one model of a box can be given a law (standins/parties/strain.py, pure): slower by what it holds, slow for a while after it held too much, and work done to its end though its client has gone. Without a law nothing is other than before.

Each second of the hosts' cores is counted once, by what came of it; a row is void where the machine may have been the limit.

--- /dev/null
+++ b/benchmarks/overload/play.py
@@ -0,0 +1,226 @@
+"""Plays an overload: real gateways before hosts that choke, the load in steps, and what was seen as an account."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+import time
+from collections.abc import Iterator, Sequence
+from dataclasses import asdict, dataclass, replace
+from itertools import pairwise
+from pathlib import Path
+from typing import Any, Final
+
+import uvloop
+
+from benchmarks.fleet_logs import MARK, Second, check
+from benchmarks.overload.account import (
+    Account, Finding, Machine, Row, Sample, Told, Try, Want, Window, Work, judge,
+)
+from benchmarks.overload.plan import Terms
+from standins.ledger import Answered, Asked, Ledger, Unanswered, Usage, Wanted, now_us
+from standins.parties.box import Job
+from standins.parties.clients import Habits
+from standins.playing.play import World
+from standins.playing.scenario import Scenario, Trouble
+from standins.site import MEAN_WORK_US
+
+LOOK_S: Final = 0.1
+TIMEOUTS, FULL, CANCELLED = 4, 3, 7  # places of a host's figures in a line of the log, docs/fleet.md
+
+
+@dataclass(slots=True)
+class Mark:
+    """When a step began, and what had been used by then."""
+
+    at_us: int
+    own_s: float  # processor time of this process
+    idle: int  # ticks of all processors
+    ticks: int
+
+
+def mark() -> Mark:
+    fields = [int(word) for word in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:9]]
+    return Mark(now_us(), time.process_time(), fields[3] + fields[4], sum(fields))
+
+
+@dataclass(slots=True)
+class Play:
+    """What one play came to."""
+
+    terms: Terms
+    capacity: float  # requests a second of all hosts, where nobody's answer is wasted
+    steps: list[Row]
+    seconds: list[Row]
+    recovery_s: float | None
+    findings: list[Finding]
+    faults: list[str]
+
+    def as_json(self) -> dict[str, Any]:
+        return {
+            "terms": asdict(self.terms), "capacity": self.capacity, "recovery_s": self.recovery_s,
+            "steps": [rounded(asdict(row) | {"wasted": row.wasted}) for row in self.steps],
+            "findings": [rounded(asdict(finding)) for finding in self.findings],
+            "seconds": [rounded(asdict(row) | {"wasted": row.wasted}) for row in self.seconds],
+            "faults": self.faults,
+        }  # fmt: skip
+
+
+def rounded(value: Any) -> Any:
+    """Figures as one reads them; infinity, which JSON does not have, as null."""
+    if isinstance(value, float):
+        return round(value, 4) if value < float("inf") else None
+    if isinstance(value, dict):
+        return {key: rounded(each) for key, each in value.items()}
+    return [rounded(each) for each in value] if isinstance(value, list) else value
+
+
+class Overload(World):
+    """A world whose hosts choke, and whose load goes in steps."""
+
+    def __init__(self, terms: Terms, folder: Path) -> None:
+        seconds = sum(step.seconds for step in terms.steps)
+        begins = [sum(step.seconds for step in terms.steps[:place]) for place in range(len(terms.steps) + 1)]
+        loads = [step.load for step in terms.steps]
+        troubles = tuple(
+            Trouble(at, "load", {"factor": load}) for at, load in zip(begins, [*loads, loads[-1]], strict=True)
+        )
+        scenario = Scenario(
+            "overload", "the load goes up in steps, and down again", seconds, terms.hosts, terms.gateways,
+            cores=terms.cores, load=loads[0], attempts=terms.attempts, second_copies=terms.copies,
+            sharing=terms.sharing, troubles=troubles,
+        )  # fmt: skip
+        super().__init__(scenario, terms.seed, seconds, folder)
+        self.terms, self.folder = terms, folder
+        # No key saves work: what the hosts can do is known.
+        self.kind = replace(self.kind, key_saves=0.0)
+        self.capacity = terms.hosts * terms.cores * 1e6 / MEAN_WORK_US
+        self.clients.habits = Habits(retries=terms.retries, honour=terms.honour, leave=0.0)
+        self.works: list[Work] = []
+        self.samples: list[Sample] = []
+        self.marks: list[Mark] = []
+
+    async def build(self) -> None:
+        await super().build()
+        for box in self.boxes.values():
+            box.use(self.terms.law)
+            box.on_over = self.on_over
+
+    def on_over(self, job: Job) -> None:
+        run = job.run
+        self.works.append(
+            Work(
+                run.id, run.whole_us, run.began_us, job.freed_us, run.over_us, run.work_us - job.handshake_us,
+                job.handshake_us, job.took_us, job.gone_us, run.how,
+            )
+        )  # fmt: skip
+
+    async def do_load(self, factor: float) -> None:
+        """A step begins; at the end of the last one too."""
+        self.clients.rate = factor * self.capacity
+        self.marks.append(mark())
+        if len(self.marks) == 1:
+            self.spawn(self.look())
+
+    async def look(self) -> None:
+        while True:
+            boxes, now = self.boxes.values(), now_us()
+            choked = sum(box.strain is not None and box.strain.is_choked(now) for box in boxes)
+            self.samples.append(Sample(now, sum(len(box.jobs) for box in boxes), choked))
+            await asyncio.sleep(LOOK_S)
+
+    # What was seen
+
+    def windows(self) -> list[Window]:
+        ends = [each.at_us for each in self.marks]
+        return [
+            Window(step.name, step.load, begin, end, step.direction)
+            for step, begin, end in zip(self.terms.steps, ends, ends[1:], strict=False)
+        ]
+
+    def seconds_of(self, steps: Sequence[Window]) -> list[Window]:
+        made = []
+        for step in steps:
+            count = max(1, round((step.end_us - step.begin_us) / 1e6))
+            ends = [step.begin_us + (step.end_us - step.begin_us) * n // count for n in range(count + 1)]
+            made += [
+                Window(f"{step.name} +{n}", step.load, begin, end, step.direction)
+                for n, (begin, end) in enumerate(pairwise(ends))
+            ]
+        return made
+
+    def machines(self, steps: Sequence[Window]) -> list[Machine]:
+        made = []
+        for window, one, other in zip(steps, self.marks, self.marks[1:], strict=False):
+            seconds = (window.end_us - window.begin_us) / 1e6
+            used: dict[str, list[int]] = {}
+            for usage in self.ledger.of(Usage):
+                if window.begin_us <= usage.at_us < window.end_us:
+                    used.setdefault(usage.gateway, []).append(usage.cpu_us)
+            busiest = max((cpu[-1] - cpu[0] for cpu in used.values()), default=0) / 1e6
+            # The looks are half a second apart: what lies between the first and the last is less than the step.
+            made.append(
+                Machine(
+                    (other.own_s - one.own_s) / seconds, busiest / max(0.5, seconds - 0.5),
+                    (other.idle - one.idle) / max(1, other.ticks - one.ticks),
+                )
+            )
+        return made
+
+
+def wants_of(ledger: Ledger) -> list[Want]:
+    """What clients wanted, with each try and what became of it."""
+    wants: dict[str, Want] = {}
+    tries: dict[str, Try] = {}
+    for entry in ledger.entries:
+        if isinstance(entry, Wanted):
+            wants[entry.id] = Want(entry.at_us, entry.klass)
+        elif isinstance(entry, Asked) and entry.id not in tries:
+            tries[entry.id] = wants[entry.first].tries[entry.id] = Try(entry.at_us, entry.at_us + entry.budget_us)
+        elif isinstance(entry, Answered | Unanswered) and entry.id in tries and not tries[entry.id].ended_us:
+            tries[entry.id].ended_us = entry.at_us
+            tries[entry.id].status = entry.status if isinstance(entry, Answered) else 0
+    return list(wants.values())
+
+
+def told_of(folder: Path) -> Iterator[Told]:
+    """The lines of all gateways' logs. ValueError for one that is not whole."""
+    for path in sorted(folder.glob("*.log")):
+        for line in path.read_text(errors="replace").splitlines():
+            _, marked, text = line.partition(MARK)
+            if not marked:
+                continue
+            said = json.loads(text)
+            check(said)
+            second = Second()
+            second.add(said)
+            sums = [sum(figures[place] for figures in second.hosts.values()) for place in (TIMEOUTS, FULL, CANCELLED)]
+            shed = (float(said["shed"][0]), float(said["shed"][1]))
+            yield Told(int(said["ms"]) * 1000 - 500_000, dict(second.why), shed, *sums)
+
+
+async def carry_out(terms: Terms) -> Play:
+    with tempfile.TemporaryDirectory(prefix="cloverkeel-overload-") as folder:
+        world = Overload(terms, Path(folder))
+        await world.play()
+        told = list(told_of(Path(folder)))
+    steps = world.windows()
+    account = Account(
+        wants_of(world.ledger), world.works, terms.hosts * terms.cores, terms.hosts, world.capacity,
+        world.samples, told,
+    )
+    rows = account.rows(steps, world.machines(steps))
+    after = [window for window in steps if window.direction == "after"]
+    again_us = account.served_again_us(after[0].begin_us, after[0].end_us) if after else None
+    recovery_s = None if again_us is None else again_us / 1e6
+    dropped = [f"{world.ledger.dropped} entries of the ledger were dropped"] if world.ledger.dropped else []
+    return Play(
+        terms, world.capacity, rows, account.rows(world.seconds_of(steps)), recovery_s,
+        judge(rows, recovery_s, bool(after)), world.faults + dropped,
+    )  # fmt: skip
+
+
+def play(terms: Terms) -> Play:
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(carry_out(terms))
--- a/standins/parties/box.py
+++ b/standins/parties/box.py
@@ -1,4 +1,7 @@
-"""A box: an HTTP server with cores, a queue, a warm-up and a memory, and faults switched as it runs."""
+"""A box: an HTTP server with cores, a queue, a warm-up and a memory, and faults switched as it runs.
+
+Where it is given a law (strain.py), it slows down by what it holds, and finishes what nobody waits for any more.
+"""
 
 from __future__ import annotations
 
@@ -13,6 +16,7 @@
 
 from standins.ledger import BoxDown, BoxLoad, BoxUp, Ledger, Run, now_us
 from standins.parties.network import Address, Flow, Network
+from standins.parties.strain import Choke, Strain
 from standins.site import CLASSES, BoxKind, Klass, Rules, draw
 
 BODY = b"." * 400
@@ -61,11 +65,14 @@
     def __init__(
         self, name: str, room: int, shelf: Shelf, ledger: Ledger, network: Network,
         kind: BoxKind | None = None, rules: Rules | None = None, seed: int = 0,
-        on_listening: Callable[[bool], None] = lambda up: None,
+        on_listening: Callable[[bool], None] = lambda up: None, law: Choke | None = None,
     ) -> None:  # fmt: skip
         self.name, self.room, self.shelf, self.ledger, self.network = name, room, shelf, ledger, network
         self.kind, self.rules = kind or BoxKind(), rules or Rules()
         self.on_listening = on_listening  # the network's links refuse while nobody listens
+        self.on_over: Callable[[Job], None] = lambda job: None  # told of each job once it is over
+        self.law = law  # None: its pace does not depend on what it holds
+        self.strain: Strain | None = None
         self.dice = random.Random(f"{seed}/{name}")
         self.faults = Faults()
         self.incarnation = 0
@@ -94,6 +101,7 @@
         self.started_us, self.cold, self.fell = now_us(), cold, False
         self.leaving = False
         self.faults = Faults()
+        self.use(self.law)
         self.keys.clear()
         self.sent.clear()
         loop = asyncio.get_running_loop()
@@ -155,6 +163,22 @@
         age = (now_us() - self.started_us) / self.kind.warm_us
         return min(1.0, self.kind.cold_share + (1 - self.kind.cold_share) * age)
 
+    def use(self, law: Choke | None) -> None:
+        """Be under this law from now on, as one that has held nothing."""
+        self.law = law
+        self.strain = Strain(law) if law is not None else None
+        self.hold()
+
+    def hold(self) -> None:
+        """What it holds has changed."""
+        if self.strain is not None:
+            self.strain.note(now_us(), len(self.jobs))
+
+    def pace(self) -> float:
+        """Work takes so many times as long."""
+        strained = self.strain.pace(now_us()) if self.strain is not None else 1.0
+        return self.faults.slow * strained / self.capacity()
+
     def is_overdriven(self, work_us: int) -> bool:
         """Count work that was sent while cold; True if it is more than a box that warms up can stand."""
         share, now = self.capacity(), now_us()
@@ -182,6 +206,7 @@
             job.reject(503)
         else:
             self.jobs.add(job)
+            self.hold()
             run.how = "waiting"
             self.waiting.append(job)
             self.next_job()
@@ -191,7 +216,7 @@
             job = self.waiting.popleft()
             if job.run.how != "waiting":
                 continue
-            if job.until_us and now_us() >= job.until_us:
+            if job.until_us and now_us() >= job.until_us and (self.law is None or self.law.heeds):
                 job.reject(504)  # nobody waits for it any more
                 continue
             self.running += 1
@@ -245,6 +270,9 @@
         self.until_us = 0  # when the gateway stops waiting
         self.timer: asyncio.TimerHandle | None = None
         self.has_core = False
+        self.gone_us = 0  # whoever asked has gone, and the work goes on
+        self.took_us = 0  # on a core, as planned when it began
+        self.freed_us = 0  # it gave its core back
 
     def begin(self) -> None:
         box, run, now = self.box, self.run, now_us()
@@ -254,8 +282,8 @@
             self.finish("duplicate")
             return
         saved = box.saved(self.path)
-        took_us = run.work_us * (1 - saved) * box.faults.slow / box.capacity()
-        self.timer = asyncio.get_running_loop().call_later(took_us / 1e6, self.wait_on_others)
+        self.took_us = int(run.work_us * (1 - saved) * box.pace())
+        self.timer = asyncio.get_running_loop().call_later(self.took_us / 1e6, self.wait_on_others)
 
     def wait_on_others(self) -> None:
         self.free_core()
@@ -265,6 +293,7 @@
     def free_core(self) -> None:
         if self.has_core:
             self.has_core = False
+            self.freed_us = now_us()
             self.box.running -= 1
             self.box.next_job()
 
@@ -275,6 +304,8 @@
         self.free_core()
         self.timer = None
         if faults.hang:
+            if self.gone_us:
+                self.end("cancelled")
             return  # and it stays so, until the other side gives up
         if faults.late and dice.random() < faults.late and self.until_us:
             wait_s = max(0, self.until_us - now_us()) / 1e6 + 0.03
@@ -336,15 +367,27 @@
     def end(self, how: str) -> None:
         if self.run.over_us:
             return
+        if self.gone_us and how != "crashed":
+            how = "cancelled"  # nobody has it
         self.run.how, self.run.over_us = how, now_us()
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
         self.box.jobs.discard(self)
+        self.box.hold()
         if self.connection.job is self:
             self.connection.job = None
             self.connection.idle_since_us = now_us()
         self.free_core()
+        self.box.on_over(self)
+
+    def give_up(self) -> None:
+        """Whoever asked has gone: work for it stops, or goes on to its end."""
+        law = self.box.law
+        if law is None or not law.stale or (self.run.began_us and self.timer is None):
+            self.end("cancelled")
+        else:
+            self.gone_us = now_us()
 
 
 class BoxConnection(asyncio.Protocol):
@@ -474,9 +517,10 @@
         self.give_up()
 
     def give_up(self) -> None:
-        """The other side stopped waiting: work for it stops."""
-        if self.job is not None:
-            self.job.end("cancelled")
+        """The other side stopped waiting."""
+        job, self.job = self.job, None
+        if job is not None:
+            job.give_up()
 
     def close_if_idle(self, since_us: int) -> None:
         if self.job is None and self.run is None and self.idle_since_us <= since_us and not self.box.faults.silent:
--- a/tests/test_standin_box.py
+++ b/tests/test_standin_box.py
@@ -8,10 +8,13 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from standins.parties.box import MORE, SPOILT, Box, Shelf
 from standins.ledger import BoxDown, BoxUp, Ledger, Run, now_us
 from standins.parties.network import Network
+from standins.parties.strain import Choke, Strain
 from standins.site import BoxKind
 
 from tests.sockets import Client, on_loop, request, until
@@ -256,3 +259,95 @@
             assert kind == "short" or not data.startswith(good) or b": -" in data
         await until(lambda: runs(one)[0].over_us)
         assert runs(one)[0].how == ("spoilt" if kind in SPOILT else "ok")
+
+
+# A box that chokes
+
+STALE = Choke(easy=1, steep=0.5, many=1, long_us=0, choked=2.0, slow_us=60_000_000)
+
+
+@given(st.lists(st.tuples(st.integers(1, 25), st.integers(0, 6)), min_size=1, max_size=12), st.lists(
+    st.integers(0, 25), min_size=12, max_size=12))
+def test_a_strain_is_what_the_whole_past_says(notes: list[tuple[int, int]], looks: list[int]) -> None:
+    """Looked at at any moments, it is what a second reading of all that was held says at the last one."""
+    law = Choke(easy=2, many=4, long_us=20, slow_us=30, most=1.5, steep=0.25, choked=2.0)
+    strain, at, steps = Strain(law), 0, list[tuple[int, int]]()
+    for (wait, held), look in zip(notes, looks, strict=False):
+        strain.note(at, held)
+        steps.append((at, held))
+        strain.is_choked(at + min(look, wait))  # a look changes nothing
+        at += wait
+    assert strain.is_choked(at) is choked_by(law, steps, at)
+    held = steps[-1][1]
+    assert strain.pace(at) == min(1.5, 1 + 0.25 * max(0, held - 2)) * (2.0 if choked_by(law, steps, at) else 1.0)
+
+
+def choked_by(law: Choke, steps: list[tuple[int, int]], now: int) -> bool:
+    """Moment by moment: too many for long enough on end, and not yet few for long enough on end."""
+    choked, too_many, few = False, 0, 0
+    for at in range(steps[0][0], now + 1):
+        held = [held for begin, held in steps if begin <= at][-1]
+        over = held > law.many
+        if at > steps[0][0]:
+            before = [held for begin, held in steps if begin < at][-1] > law.many
+            too_many, few = (too_many + 1, 0) if before else (0, few + 1)
+        if too_many >= law.long_us:
+            choked = True
+        if choked and not over and few >= law.slow_us:
+            choked = False
+        if not over:
+            too_many = 0
+    return choked
+
+
+def test_a_strain_without_much_held_is_no_strain() -> None:
+    strain = Strain(Choke())
+    for at in range(0, 60_000_000, 500_000):
+        strain.note(at, Choke().easy)
+        assert strain.pace(at) == 1.0
+
+
+@on_loop
+async def test_under_a_law_work_goes_on_to_its_end_though_who_asked_has_gone() -> None:
+    async with box() as one:
+        one.use(STALE)
+        first, second = await connect(one), await connect(one)
+        over: list[str] = []
+        one.on_over = lambda job: over.append(job.run.id)
+        first.send(request(x_call_id="left", x_call_cost="150000"))
+        await until(lambda: one.running)
+        first.close()
+        await until(lambda: all(job.gone_us for job in one.jobs))
+        assert one.running == 1 and len(one.jobs) == 1 and not over
+        answer = await second.ask(request(x_call_id="waits", budget_ms=30, **QUICK))  # past its time: begun anyway
+        left, waits = runs(one)
+        assert answer.status == 200 and over == ["left", "waits"]
+        assert left.how == "cancelled" and left.over_us - left.began_us >= 120_000
+        assert waits.began_us >= left.began_us + 120_000
+
+
+@on_loop
+async def test_under_a_law_that_heeds_what_waits_past_its_time_is_dropped() -> None:
+    async with box() as one:
+        one.use(Choke(heeds=True))
+        first, second = await connect(one), await connect(one)
+        first.send(request(x_call_cost="150000"))
+        await until(lambda: one.running)
+        assert (await second.ask(request(budget_ms=30))).status == 504
+
+
+@on_loop
+async def test_a_box_slows_down_by_what_it_holds_and_a_new_life_remembers_nothing() -> None:
+    async with box() as one:
+        one.use(STALE)
+        clients = [await connect(one) for _ in range(2)]
+        for n, client in enumerate(clients):
+            client.send(request(x_call_id=f"r{n}", x_call_cost="50000"))
+            await until(lambda n=n: len(one.jobs) == n + 1)  # type: ignore[misc]
+        assert one.pace() == 3.0  # one too many, and choked
+        for client in clients:
+            assert (await client.answer()).status == 200
+        assert one.pace() == 2.0  # choked still
+        one.crash()
+        await one.start(cold=False)
+        assert one.pace() == 1.0
