The picture of an overload says why a row is void, and how a surge begins

Idle processors of the machine were the measure: other programs' bursts made rows void in which every timer and every process of the play was on time (stretch 0.3%). Now it is what the play's own processes waited for a processor, as the kernel counts it, beside hosts' planned time, and each process's share of a processor.

--- a/benchmarks/overload/__main__.py
+++ b/benchmarks/overload/__main__.py
@@ -1,7 +1,8 @@
 """The picture of an overload: goodput against offered load, with hosts that choke (docs/overload-picture.md).
 
     python -m benchmarks.overload picture [--gateways 2,8,32] [--seeds 1-3] [--step S] [--json FILE] [--quick]
-        [--honour 0..1] [--retries N] [--attempts N] [--no-copies] [--sharing] [--law off | key=value,...]
+        [--hosts N] [--cores N] [--honour 0..1] [--retries N] [--attempts N] [--no-copies] [--sharing]
+        [--law off | key=value,...]
 
 Real gateways before hosts whose capacity is known. The load goes in steps, in times of that capacity: 0.9 as the
 fleet starts empty, then 0.6, 0.9, 1.2, 1.6, 2.5, 4, down again by the same, then from 0.6 straight to 4 and back.
@@ -40,9 +41,10 @@
 STEP_S, QUICK_STEP_S = 6.0, 3.0
 COLUMNS: Final = (
     "step", "offered", "good", "served", "useful", "(from, to)", "slowed", "copies", "lost", "nobody", "idle", "held",
-    "choked", "refused", "t/o", "host t/o", "tries", "runs", "shed", "why",
+    "choked", "refused", "t/o", "host t/o", "tries", "sent", "runs", "shed", "why",
 )  # fmt: skip
 GATEWAYS_MOST: Final = 64
+HOSTS_MOST, CORES_MOST = 64, 16
 AFTER_S: Final = 8.0  # at the least, from a surge's end: three of them are wanted, and two seconds to see it
 
 
@@ -102,7 +104,8 @@
                 f"{average('lost'):.3f}", f"{average('nobody'):.3f}", f"{average('idle'):.3f}",
                 f"{average('held'):.1f}", f"{average('choked'):.2f}", f"{average('refused'):.0f}",
                 f"{average('timeouts'):.0f}", f"{average('host_timeouts'):.0f}", f"{average('tries'):.2f}",
-                f"{average('runs'):.3f}", f"{average('shed'):.2f} {average('shed_dear'):.2f}",
+                f"{average('arrived'):.0f}", f"{average('runs'):.3f}",
+                f"{average('shed'):.2f} {average('shed_dear'):.2f}",
                 " ".join(f"{word} {figure:.0f}" for word, figure in sorted(why.items(), key=lambda i: -i[1])),
             )  # fmt: skip
         console.print(table)
@@ -129,6 +132,8 @@
     parser.add_argument("what", choices=("picture",))
     parser.add_argument("--gateways", default="2,8,32")
     parser.add_argument("--seeds", default="1-3")
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--cores", type=int, default=2, help="of each host")
     parser.add_argument("--step", type=float, default=STEP_S, metavar="S", help="seconds of each step")
     parser.add_argument("--json", type=Path)
     parser.add_argument("--quick", action="store_true")
@@ -151,6 +156,8 @@
         raise ValueError(f"--gateways: expected whole numbers, found {options.gateways!r}") from None
     if not all(1 <= count <= GATEWAYS_MOST for count in counts):
         raise ValueError(f"--gateways: expected 1 to {GATEWAYS_MOST}, found {options.gateways!r}")
+    if not (1 <= options.hosts <= HOSTS_MOST and 1 <= options.cores <= CORES_MOST):
+        raise ValueError(f"--hosts, --cores: expected 1 to {HOSTS_MOST} and 1 to {CORES_MOST}")
     if not 1 <= options.step <= 60:
         raise ValueError(f"--step: expected 1 to 60 seconds, found {options.step:g}")
     if not 0 <= options.honour <= 1:
@@ -164,8 +171,8 @@
     made = tuple(steps(LOADS, options.step, options.step, max(after_s, options.step)))
     return [
         Terms(
-            count, seed, made, law=law, honour=options.honour, retries=options.retries, attempts=options.attempts,
-            copies=not options.no_copies, sharing=options.sharing,
+            count, seed, made, options.hosts, options.cores, law, options.honour, options.retries, options.attempts,
+            not options.no_copies, options.sharing,
         )
         for seed in parse_seeds(options.seeds) for count in counts
     ]  # fmt: skip
--- a/benchmarks/overload/account.py
+++ b/benchmarks/overload/account.py
@@ -18,7 +18,7 @@
 FOREVER: Final = 1 << 62
 STRETCH_MOST: Final = 0.05  # of a core's planned time, that its end came later: the stand-ins were held up
 PROCESS_MOST: Final = 0.85  # of one processor: the stand-ins' process, or a gateway's
-IDLE_LEAST: Final = 0.05  # of the machine's processors
+WAITED_MOST: Final = 0.05  # of the time, that one of these was ready to run and had no processor
 SERVED: Final = 0.99
 SERVED_IN_US: Final = 2_000_000  # what is wanted in so long counts together
 LOOK_US: Final = 100_000
@@ -108,6 +108,7 @@
     timeouts: int  # attempts at hosts
     full: int
     cancelled: int
+    trips: int  # breakers that opened, as far as the log says each
 
 
 @dataclass(slots=True)
@@ -116,7 +117,8 @@
 
     own: float = 0.0  # of a processor: the stand-ins' process
     gateway: float = 0.0  # the busiest gateway's
-    idle: float = 1.0  # of all processors
+    waited: float = 0.0  # of the time: whichever of these had to wait longest for a processor
+    idle: float = 1.0  # of all processors: others may use them, and that alone is no limit
 
 
 @dataclass(slots=True)
@@ -134,8 +136,8 @@
     refused: float = 0.0  # tries that a client was told no
     timeouts: float = 0.0  # tries without an answer in time
     tries: float = 0.0  # of a client for each want
-    runs: float = 0.0  # that began at hosts, for each request that reached one
-    reached: float = 0.0  # requests that reached a host
+    runs: float = 0.0  # attempts at hosts, for each request that reached one
+    arrived: float = 0.0  # attempts that reached a host
     why: dict[str, float] = field(default_factory=dict)  # refusals by the gateways' reason
     host_timeouts: float = 0.0  # attempts that gateways gave up
     full: float = 0.0  # attempts that hosts turned away
@@ -144,6 +146,9 @@
     choked: float = 0.0  # share of the hosts
     shed: float = 0.0  # mean over the gateways: of what is cheap
     shed_dear: float = 0.0
+    shed_from: float = 0.0  # of what is cheap, at the gateway that shed least, and most
+    shed_to: float = 0.0
+    trips: float = 0.0  # breakers that opened, at the least
     useful: float = 0.0  # work behind good answers
     reach: float = 0.0  # the same, of what was possible: of what was wanted, or of all
     slowed: float = 0.0  # what these took beyond their work
@@ -171,8 +176,8 @@
         found.append(f"the stand-ins' process used {machine.own:.0%} of a processor, {PROCESS_MOST:.0%} at the most")
     if machine.gateway > PROCESS_MOST:
         found.append(f"a gateway used {machine.gateway:.0%} of a processor, {PROCESS_MOST:.0%} at the most")
-    if machine.idle < IDLE_LEAST:
-        found.append(f"the machine was idle for {machine.idle:.1%} of the time, {IDLE_LEAST:.0%} at the least")
+    if machine.waited > WAITED_MOST:
+        found.append(f"a process had no processor for {machine.waited:.1%} of the time, {WAITED_MOST:.0%} at the most")
     return found
 
 
@@ -247,15 +252,17 @@
     def count_works(self, made: list[Row], finder: Finder) -> None:
         planned, took = [0] * len(made), [0] * len(made)
         ids: list[set[str]] = [set() for _ in made]
-        runs = [0] * len(made)
+        arrived = [0] * len(made)
         for work in self.works:
             for place, part_us in finder.parts(work.whole_us, work.over_us):
                 made[place].held += part_us / 1e6 / made[place].seconds / self.hosts
+            at = finder.of(work.whole_us)
+            if at is not None:
+                arrived[at] += 1
+                ids[at].add(work.id)
             begun = finder.of(work.began_us)
             if begun is None:
                 continue
-            runs[begun] += 1
-            ids[begun].add(work.id)
             if work.freed_us and work.took_us:
                 planned[begun] += work.took_us
                 took[begun] += work.freed_us - work.began_us
@@ -264,8 +271,8 @@
                 made[begun].begun_for_nobody += 1 / made[begun].seconds
             self.share_out(work, nobody_us, made, finder)
         for place, row in enumerate(made):
-            row.runs = runs[place] / max(1, len(ids[place]))
-            row.reached = len(ids[place]) / row.seconds
+            row.runs = arrived[place] / max(1, len(ids[place]))
+            row.arrived = arrived[place] / row.seconds
             row.stretch = took[place] / planned[place] - 1 if planned[place] else 0.0
             row.reach = row.useful / min(1.0, row.offered / self.capacity) if row.offered else 0.0
             row.idle = 1 - row.useful - row.slowed - row.handshake - row.wasted
@@ -303,6 +310,9 @@
                 continue
             row = made[place]
             lines[place] += 1
+            row.shed_from = min(row.shed_from, told.shed[0]) if lines[place] > 1 else told.shed[0]
+            row.shed_to = max(row.shed_to, told.shed[0])
+            row.trips += told.trips / row.seconds
             row.shed += told.shed[0]
             row.shed_dear += told.shed[1]
             row.host_timeouts += told.timeouts / row.seconds
--- a/benchmarks/overload/play.py
+++ b/benchmarks/overload/play.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import json
+import os
 import tempfile
-import time
 from collections.abc import Iterator, Sequence
 from dataclasses import asdict, dataclass, replace
 from itertools import pairwise
@@ -19,14 +19,18 @@
     Account, Finding, Machine, Row, Sample, Told, Try, Want, Window, Work, judge,
 )
 from benchmarks.overload.plan import Terms
-from standins.ledger import Answered, Asked, Ledger, Unanswered, Usage, Wanted, now_us
+from standins.ledger import Answered, Asked, Ledger, Unanswered, Wanted, now_us
 from standins.parties.box import Job
 from standins.parties.clients import Habits
+from standins.parties.fleet import Gateway
 from standins.playing.play import World
 from standins.playing.scenario import Scenario, Trouble
 from standins.site import MEAN_WORK_US
 
 LOOK_S: Final = 0.1
+OWN: Final = "stand-ins"
+ONSET = ("offered", "arrived", "held", "refused", "useful", "nobody", "good")
+ONSET_S: Final = 3.0
 TIMEOUTS, FULL, CANCELLED = 4, 3, 7  # places of a host's figures in a line of the log, docs/fleet.md
 
 
@@ -35,14 +39,37 @@
     """When a step began, and what had been used by then."""
 
     at_us: int
-    own_s: float  # processor time of this process
     idle: int  # ticks of all processors
     ticks: int
+    used: dict[str, tuple[int, int]]  # by process: ns on a processor, and ns that it was ready and had none
 
 
-def mark() -> Mark:
+def mark(gateways: Sequence[Gateway]) -> Mark:
     fields = [int(word) for word in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:9]]
-    return Mark(now_us(), time.process_time(), fields[3] + fields[4], sum(fields))
+    used = {OWN: scheduled(os.getpid())}
+    for gateway in gateways:
+        if gateway.process is not None and gateway.is_running:
+            used[gateway.name] = scheduled(gateway.process.pid)
+    return Mark(now_us(), fields[3] + fields[4], sum(fields), used)
+
+
+def scheduled(pid: int) -> tuple[int, int]:
+    on, waited, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
+    return int(on), int(waited)
+
+
+def between(one: Mark, other: Mark) -> Machine:
+    """What was used from one mark to the next, by the processes that both know."""
+    wall_ns = max(1, other.at_us - one.at_us) * 1000
+    shares = {
+        name: ((other.used[name][0] - on) / wall_ns, (other.used[name][1] - waited) / wall_ns)
+        for name, (on, waited) in one.used.items() if name in other.used
+    }  # fmt: skip
+    gateways = [on for name, (on, _) in shares.items() if name != OWN]
+    return Machine(
+        shares[OWN][0], max(gateways, default=0.0), max(waited for _, waited in shares.values()),
+        (other.idle - one.idle) / max(1, other.ticks - one.ticks),
+    )  # fmt: skip
 
 
 @dataclass(slots=True)
@@ -53,6 +80,7 @@
     capacity: float  # requests a second of all hosts, where nobody's answer is wasted
     steps: list[Row]
     seconds: list[Row]
+    onset: list[Row]  # of the surge, by tenths of a second
     recovery_s: float | None
     findings: list[Finding]
     faults: list[str]
@@ -63,6 +91,10 @@
             "steps": [rounded(asdict(row) | {"wasted": row.wasted}) for row in self.steps],
             "findings": [rounded(asdict(finding)) for finding in self.findings],
             "seconds": [rounded(asdict(row) | {"wasted": row.wasted}) for row in self.seconds],
+            "onset": [
+                rounded({name: getattr(row, name) for name in ("name", *ONSET)} | {"wasted": row.wasted})
+                for row in self.onset
+            ],
             "faults": self.faults,
         }  # fmt: skip
 
@@ -119,7 +151,7 @@
     async def do_load(self, factor: float) -> None:
         """A step begins; at the end of the last one too."""
         self.clients.rate = factor * self.capacity
-        self.marks.append(mark())
+        self.marks.append(mark(self.gateways))
         if len(self.marks) == 1:
             self.spawn(self.look())
 
@@ -139,35 +171,17 @@
             for step, begin, end in zip(self.terms.steps, ends, ends[1:], strict=False)
         ]
 
-    def seconds_of(self, steps: Sequence[Window]) -> list[Window]:
+    def parts_of(self, steps: Sequence[Window], each_s: float) -> list[Window]:
         made = []
         for step in steps:
-            count = max(1, round((step.end_us - step.begin_us) / 1e6))
+            count = max(1, round((step.end_us - step.begin_us) / 1e6 / each_s))
             ends = [step.begin_us + (step.end_us - step.begin_us) * n // count for n in range(count + 1)]
             made += [
-                Window(f"{step.name} +{n}", step.load, begin, end, step.direction)
+                Window(f"{step.name} +{n * each_s:g}", step.load, begin, end, step.direction)
                 for n, (begin, end) in enumerate(pairwise(ends))
             ]
         return made
 
-    def machines(self, steps: Sequence[Window]) -> list[Machine]:
-        made = []
-        for window, one, other in zip(steps, self.marks, self.marks[1:], strict=False):
-            seconds = (window.end_us - window.begin_us) / 1e6
-            used: dict[str, list[int]] = {}
-            for usage in self.ledger.of(Usage):
-                if window.begin_us <= usage.at_us < window.end_us:
-                    used.setdefault(usage.gateway, []).append(usage.cpu_us)
-            busiest = max((cpu[-1] - cpu[0] for cpu in used.values()), default=0) / 1e6
-            # The looks are half a second apart: what lies between the first and the last is less than the step.
-            made.append(
-                Machine(
-                    (other.own_s - one.own_s) / seconds, busiest / max(0.5, seconds - 0.5),
-                    (other.idle - one.idle) / max(1, other.ticks - one.ticks),
-                )
-            )
-        return made
-
 
 def wants_of(ledger: Ledger) -> list[Want]:
     """What clients wanted, with each try and what became of it."""
@@ -187,17 +201,23 @@
 def told_of(folder: Path) -> Iterator[Told]:
     """The lines of all gateways' logs. ValueError for one that is not whole."""
     for path in sorted(folder.glob("*.log")):
+        trips = 0  # since the last line of figures
         for line in path.read_text(errors="replace").splitlines():
             _, marked, text = line.partition(MARK)
+            trips += " open for " in line and "breaker" in line
             if not marked:
                 continue
             said = json.loads(text)
             check(said)
             second = Second()
             second.add(said)
-            sums = [sum(figures[place] for figures in second.hosts.values()) for place in (TIMEOUTS, FULL, CANCELLED)]
+            timeouts, full, cancelled = (
+                sum(figures[place] for figures in second.hosts.values()) for place in (TIMEOUTS, FULL, CANCELLED)
+            )
             shed = (float(said["shed"][0]), float(said["shed"][1]))
-            yield Told(int(said["ms"]) * 1000 - 500_000, dict(second.why), shed, *sums)
+            at_us = int(said["ms"]) * 1000 - 500_000
+            yield Told(at_us, dict(second.why), shed, timeouts, full, cancelled, trips)
+            trips = 0
 
 
 async def carry_out(terms: Terms) -> Play:
@@ -210,13 +230,15 @@
         wants_of(world.ledger), world.works, terms.hosts * terms.cores, terms.hosts, world.capacity,
         world.samples, told,
     )
-    rows = account.rows(steps, world.machines(steps))
+    rows = account.rows(steps, [between(*marks) for marks in pairwise(world.marks)])
     after = [window for window in steps if window.direction == "after"]
     again_us = account.served_again_us(after[0].begin_us, after[0].end_us) if after else None
     recovery_s = None if again_us is None else again_us / 1e6
     dropped = [f"{world.ledger.dropped} entries of the ledger were dropped"] if world.ledger.dropped else []
+    surge = [window for window in steps if window.direction == "surge"]
+    onset = world.parts_of(surge, 0.1)[: round(ONSET_S / 0.1)]
     return Play(
-        terms, world.capacity, rows, account.rows(world.seconds_of(steps)), recovery_s,
+        terms, world.capacity, rows, account.rows(world.parts_of(steps, 1.0)), account.rows(onset), recovery_s,
         judge(rows, recovery_s, bool(after)), world.faults + dropped,
     )  # fmt: skip
 
--- a/tests/test_overload_picture.py
+++ b/tests/test_overload_picture.py
@@ -72,7 +72,7 @@
     one, _ = account([want("a", 10.2, (1.6, 11.0, 200))], [run("a", 10.3, 10.9), run("a", 10.5, 11.5)])
     assert one.useful == pytest.approx(0.6 / 4, 1e-4) and one.copy == pytest.approx(1.0 / 4, 1e-4)
     assert one.nobody == 0.0 and one.lost == 0.0
-    assert one.runs == 2.0 and one.reached == 0.5
+    assert one.runs == 2.0 and one.arrived == 1.0
 
 
 def test_a_want_is_served_once_by_any_of_its_tries_and_each_refusal_counts() -> None:
@@ -81,10 +81,11 @@
 
 
 def test_what_gateways_and_looks_tell_is_of_the_window_that_it_is_in() -> None:
-    told = [Told(11 * S, {"shed": 4}, (0.4, 0.2), 2, 0, 0), Told(11 * S, {"none": 2}, (0.0, 0.0), 0, 6, 8)]
+    told = [Told(11 * S, {"shed": 4}, (0.4, 0.2), 2, 0, 0, 0), Told(11 * S, {"none": 2}, (0.0, 0.0), 0, 6, 8, 2)]
     samples = [Sample(11 * S, 5, 1), Sample(11 * S + 1, 5, 0), Sample(20 * S, 9, 1)]
     one, two = Account([], [], 2, 1, 10.0, samples, told).rows(WINDOWS)
     assert one.why == {"shed": 2.0, "none": 1.0} and (one.shed, one.shed_dear) == (0.2, 0.1)
+    assert (one.shed_from, one.shed_to, one.trips) == (0.0, 0.4, 1.0)
     assert (one.host_timeouts, one.full, one.cancelled, one.choked) == (1.0, 3.0, 4.0, 0.5)
     assert two.why == {} and two.choked == 0.0
 
@@ -129,11 +130,11 @@
 @pytest.mark.parametrize(
     ("machine", "stretch", "said"),
     [
-        (Machine(0.5, 0.5, 0.5), 0.01, ""),
-        (Machine(0.5, 0.5, 0.5), 0.06, "hosts' cores"),
-        (Machine(0.9, 0.5, 0.5), 0.01, "the stand-ins' process"),
-        (Machine(0.5, 0.9, 0.5), 0.01, "a gateway"),
-        (Machine(0.5, 0.5, 0.04), 0.01, "the machine was idle"),
+        (Machine(0.5, 0.5, 0.04, 0.0), 0.01, ""),
+        (Machine(0.5, 0.5, 0.04, 0.9), 0.06, "hosts' cores"),
+        (Machine(0.9, 0.5, 0.04, 0.9), 0.01, "the stand-ins' process"),
+        (Machine(0.5, 0.9, 0.04, 0.9), 0.01, "a gateway"),
+        (Machine(0.5, 0.5, 0.06, 0.9), 0.01, "a process had no processor"),
     ],
 )
 def test_a_row_is_void_where_the_machine_may_have_been_the_limit(machine: Machine, stretch: float, said: str) -> None:
