--- a/benchmarks/overload/account.py
+++ b/benchmarks/overload/account.py
@@ -177,7 +177,7 @@
     if machine.gateway > PROCESS_MOST:
         found.append(f"a gateway used {machine.gateway:.0%} of a processor, {PROCESS_MOST:.0%} at the most")
     if machine.waited > WAITED_MOST:
-        found.append(f"a process had no processor for {machine.waited:.1%} of the time, {WAITED_MOST:.0%} at the most")
+        found.append(f"a process had no processor for {machine.waited:.1%} of the time: {WAITED_MOST:.0%} at most")
     return found
 
 
