--- a/tests/test_overload_picture.py
+++ b/tests/test_overload_picture.py
@@ -13,7 +13,8 @@
 from benchmarks.overload import __main__ as command
 from benchmarks.overload.account import Account, Machine, Row, Sample, Told, Try, Want, Window, Work, judge, voids
 from benchmarks.overload.plan import LOADS, Step, Terms, steps
-from benchmarks.overload.play import Play, rounded
+from benchmarks.overload.play import OWN, Mark, Play, between, rounded, told_of, wants_of
+from standins.ledger import Answered, Asked, Ledger, Unanswered, Wanted
 from standins.parties.strain import Choke
 
 S = 1_000_000
@@ -120,6 +121,47 @@
     assert Account(wants, [], 2, 1, 10.0).served_again_us(10 * S, int(12.5 * S)) is None
 
 
+# What the parties wrote, as the account takes it
+
+
+def test_a_ledger_tells_each_want_its_tries_and_what_became_of_them() -> None:
+    ledger = Ledger()
+    for entry in (
+        Wanted(1, "a", "hold", "kita-room"), Asked(2, "a", "hold", "n0", 100, first="a"),
+        # Its connection was closed before it was read: the same try, once more.
+        Asked(3, "a", "hold", "n1", 100, first="a", again=True), Answered(50, "a", 503, "", 20_000),
+        Asked(70, "a-1", "hold", "n0", 100, first="a"), Answered(171, "a-1", 200, "a-1"),
+        Asked(180, "a-2", "hold", "n0", 50, first="a"), Unanswered(500, "a-2", "none"), Answered(501, "a-2", 200),
+    ):  # fmt: skip
+        ledger.add(entry)
+    (only,) = wants_of(ledger)
+    first, late, none = only.tries.values()
+    assert (first.asked_us, first.status, first.over_us, first.is_timeout) == (2, 503, 50, False)
+    assert (late.status, late.is_good, late.is_timeout, late.over_us) == (200, False, True, 170)
+    assert (none.status, none.is_timeout, none.over_us, only.good_us) == (0, True, 230, 0)
+
+
+def test_the_lines_of_the_log_are_added_up_by_second_and_what_is_not_whole_is_an_error(tmp_path: Path) -> None:
+    line = (
+        'cloverkeel: tally {"ms":20500,"shed":[0.5,0.1],"asked":[9],"refused":[1],"why":{"shed":1},"failed":[0],'
+        '"opened":0,"lines":0,"hosts":{"1":[7,1,0,2,3,0,0,1,9],"2":[1,0,0,0,1,0,0,0,0]}}'
+    )
+    trip = "cloverkeel: server 2: breaker open for 1 s"
+    (tmp_path / "n0.log").write_text("\n".join([trip, trip, "cloverkeel: ready", line, line]))
+    first, second = told_of(tmp_path)
+    assert (first.at_us, first.why, first.shed) == (20_000_000, {"shed": 1}, (0.5, 0.1))
+    assert (first.timeouts, first.full, first.cancelled, first.trips, second.trips) == (4, 2, 1, 2, 0)
+    (tmp_path / "n1.log").write_text(line.replace("[0.5,0.1]", "[0.5]"))
+    with pytest.raises(ValueError):
+        list(told_of(tmp_path))
+
+
+def test_what_processes_used_and_waited_for_is_told_from_mark_to_mark() -> None:
+    one = Mark(0, 100, 1000, {OWN: (0, 0), "n0": (5, 5), "gone": (0, 0)})
+    other = Mark(1_000_000, 150, 1200, {OWN: (500_000_000, 10_000_000), "n0": (200_000_005, 40_000_005)})
+    assert between(one, other) == Machine(0.5, 0.2, 0.04, 0.25)
+
+
 # What is void, and what is wanted
 
 
