--- a/tests/test_overload_picture.py
+++ b/tests/test_overload_picture.py
@@ -69,8 +69,9 @@
     assert one.nobody == pytest.approx(0.5 / 4) and one.begun_for_nobody == 0.5
 
 
-def test_of_two_runs_of_a_request_the_one_that_was_answered_first_is_useful_and_the_other_a_copy() -> None:
-    one, _ = account([want("a", 10.2, (1.6, 11.0, 200))], [run("a", 10.3, 10.9), run("a", 10.5, 11.5)])
+@pytest.mark.parametrize("came", [11.0, 11.7])  # before the second run's answer was out, and after it
+def test_of_two_runs_of_a_request_the_one_that_was_answered_first_is_useful_and_the_other_a_copy(came: float) -> None:
+    one, _ = account([want("a", 10.2, (1.6, came, 200))], [run("a", 10.3, 10.9), run("a", 10.5, 11.5)])
     assert one.useful == pytest.approx(0.6 / 4, 1e-4) and one.copy == pytest.approx(1.0 / 4, 1e-4)
     assert one.nobody == 0.0 and one.lost == 0.0
     assert one.runs == 2.0 and one.arrived == 1.0
