--- a/tests/fleet/test_relays.py
+++ b/tests/fleet/test_relays.py
@@ -5,6 +5,9 @@
 import signal
 from pathlib import Path
 
+import pytest
+
+from benchmarks.relay_schedules import draw, play
 from standins.ledger import now_us
 from standins.parties import fleet as processes
 from tests.fleet.relayed import GATEWAYS, relayed
@@ -171,7 +174,7 @@
 async def test_a_drain_told_at_one_half_holds_for_who_asks_there_and_for_all_once_both_say_it(tmp_path: Path) -> None:
     async with relayed(tmp_path, feeds=(A, B)) as fleet:
         at_us = fleet.tell(0, "DRAINING", A)
-        await fleet.until(at_us + int(LOST_S * 1e6))
+        await fleet.wait(lambda: now_us() - max(fleet.last(0), at_us) > 500_000, "it is left")
         fleet.left(0, at_us, LOST_S)
         await fleet.kill(0)
         await fleet.all_at(1)
@@ -199,7 +202,7 @@
         await fleet.wait(lambda: now_us() - max(fleet.last(0), fleet.last(1), at_us) > 300_000, "both are left")
         await fleet.kill(0)
         await fleet.all_at(1)
-        await fleet.until(now_us() + int(LOST_S * 1e6))
+        await fleet.until(now_us() + 1_000_000)
         for host in (0, 1):
             fleet.left(host, at_us, LOST_S)
         fleet.tell(0, "DRAINING", B)
@@ -209,3 +212,11 @@
         at_us = fleet.tell(1, "DELETED", B)
         await fleet.until(at_us + int(LOST_S * 1e6))
         fleet.left(1, at_us, LOST_S)
+
+
+@pytest.mark.parametrize("seed", [16, 144])
+@on_loop
+async def test_a_drawn_schedule_is_well(tmp_path: Path, seed: int) -> None:
+    """Longer ones, by the hundred: `python -m benchmarks.relay_schedules`."""
+    played = await play(draw(seed, 2.5), tmp_path)
+    assert not played.wrong, f"{played.schedule}: {played.wrong}\n{played.timeline}"
