--- a/standins/judging/relays.py
+++ b/standins/judging/relays.py
@@ -180,8 +180,11 @@
     def of_left(self, gateway: int, host: int, since_us: int, until_us: int) -> Iterator[Wrong]:
         who, one_says = f"n{gateway} s-{host}", len(set(self.record.feeds)) == 1
         times, everywhere = self.at[gateway, host], self.all_at[gateway]
-        before_us = late_us = 0
-        for at_us in times[bisect_right(times, since_us) : bisect_right(times, until_us)]:
+        first = bisect_right(times, since_us)
+        before_us, late_us = times[first - 1] if first else 0, 0
+        if bisect_right(everywhere, since_us) - bisect_right(everywhere, before_us) > OTHERS:
+            before_us = 0  # it was not in use, as where this gateway did not hear that it was back
+        for at_us in times[first : bisect_right(times, until_us)]:
             if self.is_late(gateway, since_us, at_us, TOLD_US + SLACK_US):
                 late_us = at_us
             others = bisect_right(everywhere, at_us) - bisect_right(everywhere, before_us)
--- a/tests/test_relay_judge.py
+++ b/tests/test_relay_judge.py
@@ -77,6 +77,20 @@
     assert not found(made)
 
 
+def test_a_host_that_was_left_at_once_or_not_in_use_as_it_drained() -> None:
+    made = record()
+    change(made, 2.0, "DRAINING")
+    uses(made, 1, 0.0, 2.0)
+    for _ in range(2):
+        uses(made, 0, 0.0, 10.0)
+    uses(made, 1, 5.0, 5.1)
+    assert found(made) == ["left, and used again after 3.050 s"]
+    made.arrivals = [arrival for arrival in made.arrivals if arrival.host == 0 or arrival.at_us >= 2 * S]
+    assert not found(made)  # it did not know that this one was there
+    uses(made, 1, 0.0, 0.5)
+    assert found(made) == ["left, and used again after 4.550 s"]
+
+
 def test_a_host_that_is_back_is_used_in_time() -> None:
     made = record()
     change(made, 2.0, "DELETED")
