The log says why a call to discovery failed also where it was its time

Seen in the logs of drawn schedules: `discovery: ` and nothing behind it, wherever a call was given up: an exception without words is still true. Its name is said now, as behind relays. A test of a silent discovery reads the line, and fails without this.

--- a/cloverkeel/membership/registry.py
+++ b/cloverkeel/membership/registry.py
@@ -394,7 +394,7 @@
                 self.stop()
 
     def _on_failure(self, error: Exception) -> None:
-        log(f"discovery: {error or type(error).__name__}")
+        log(f"discovery: {str(error) or type(error).__name__}")
         self.plan.on_failure()
         self.task = None  # this one is over; and the module may ask again while it hears of this
         self.stop()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -102,7 +102,7 @@
 
 
 @on_loop
-async def test_a_connection_that_is_silent_from_the_first_is_given_up_in_time() -> None:
+async def test_a_connection_that_is_silent_from_the_first_is_given_up_in_time(capsys: Any) -> None:
     begun: list[float] = []
 
     def script(exchange: Exchange) -> None:
@@ -119,6 +119,7 @@
     ):
         await until(lambda: begun and drained(run))
         assert time.monotonic() - begun[0] < FIRST_SILENT_S < TOLD_S
+        assert "discovery: TimeoutError\n" in capsys.readouterr().err
 
 
 @on_loop
