--- a/benchmarks/guards/maimed.py
+++ b/benchmarks/guards/maimed.py
@@ -1527,8 +1527,9 @@
     """Changes are told from the gateway's last answer, whichever `from` names."""
     from cloverkeel.relay.feed import Feed
 
-    held = "views.get(since) if since is not None else None"
-    cut(Feed, "answer", (held, "views[max(views)] if views and since is not None else None"))
+    last = "self.answer_delta(asker, post, max(self.views[asker.gateway]))"
+    known = ("not self.knows(asker, since)", "not self.views.get(asker.gateway)")
+    cut(Feed, "answer", known, ("self.answer_delta(asker, post, since)", last))
 
 
 @entry("relay-restricts-first")
