--- a/review/standins.py
+++ b/review/standins.py
@@ -447,6 +447,7 @@
 
 def play(folder: Path, scenario: Callable[[Path, Record], Awaitable[list[str]]]) -> int:
     """Play a scenario in a temporary folder; return the exit code. It returns how the rule was broken."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that a run that is ended ends its processes too
     record = Record(folder)
     code = EXIT_COULD_NOT_RUN
     try:
