Metrics line: delay of the event loop, the account's peak and charges by kind of peer

Change: `loop` (longest delay of a heartbeat in ms); `held` gets the peak of the account since the last line and the bytes charged to clients, hosts, discovery, gateways and the operators' address. MemoryCharge and BodyReservation charge through MemoryAccount.add, which knows the owner. Existing figures keep their places.

--- a/cloverkeel/core/body_budget.py
+++ b/cloverkeel/core/body_budget.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from cloverkeel.core.memory_account import MemoryAccount
+from cloverkeel.core.memory_account import ChargeOwner, MemoryAccount
 
 BYTES_PER_MIB: Final = 1024 * 1024
 BASELINE_MB: Final = 24  # part of the memory limit for the program itself, connections and small bodies
@@ -51,10 +51,10 @@
         if not self.budget.account.has_room(size):
             return False
         self.budget.used_bytes += size
-        self.budget.account.used_bytes += size
+        self.budget.account.add(ChargeOwner.CLIENTS, size)
         self.reserved_bytes += size
         return True
 
     def __del__(self) -> None:
         self.budget.used_bytes -= self.reserved_bytes
-        self.budget.account.used_bytes -= self.reserved_bytes
+        self.budget.account.add(ChargeOwner.CLIENTS, -self.reserved_bytes)
--- a/cloverkeel/core/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -240,6 +240,7 @@
         # Scheduled first, so that an exception below cannot stop the heartbeat.
         self.heartbeat_timer = self.loop.call_later(HEARTBEAT_INTERVAL_US / 1e6, self.on_heartbeat)
         at_us = now_us()
+        self.metrics.record_heartbeat(at_us, HEARTBEAT_INTERVAL_US)
         self.check_stall(at_us)
         if at_us >= self.metrics_due_us:
             self.write_metrics(at_us)
@@ -249,12 +250,9 @@
         self.metrics_due_us = at_us - at_us % METRICS_INTERVAL_US + METRICS_INTERVAL_US
         opened = self.hosts.opened_count()
         line = self.metrics.format_line(
-            at_us,
-            self.balancer.shed_ratios(),
-            opened - self.opened_at_last_line,
-            self.endpoint_updates.received_entries,
-            self.measure_resources(),
-        )
+            at_us, self.balancer.shed_ratios(), opened - self.opened_at_last_line,
+            self.endpoint_updates.received_entries, self.measure_resources(),
+        )  # fmt: skip
         if line is not None and try_log(line):
             self.opened_at_last_line = opened
             self.endpoint_updates.received_entries = 0
--- a/cloverkeel/core/memory_account.py
+++ b/cloverkeel/core/memory_account.py
@@ -5,11 +5,12 @@
 first and may be refused or made smaller. Small amounts are charged also beyond the limit; the caller then pauses,
 refuses or closes.
 
-Invariant: `used_bytes` is the sum of all charges that were not released.
+Invariant: `used_bytes` is the sum of all charges that were not released, and of `bytes_by_owner`.
 """
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import Final
 
 BYTES_PER_MIB: Final = 1024 * 1024
@@ -31,6 +32,16 @@
 MAX_BUFFERED_RESPONSE_BYTES: Final = 64 * 1024
 
 
+class ChargeOwner(IntEnum):
+    """Kinds of peers whose bytes are charged; the values are positions in `MemoryAccount.bytes_by_owner`."""
+
+    CLIENTS = 0
+    HOSTS = 1
+    DISCOVERY = 2
+    GATEWAYS = 3
+    ADMIN = 4
+
+
 def account_limit(memory_mb: int, baseline_bytes: int) -> int:
     """Return the limit of an account in bytes.
 
@@ -49,6 +60,19 @@
         self.baseline_bytes = baseline_bytes
         self.limit_bytes = account_limit(memory_mb, baseline_bytes)
         self.used_bytes = 0
+        self.peak_bytes = 0  # highest `used_bytes` since the last call of `take_peak_bytes`
+        self.bytes_by_owner = [0] * len(ChargeOwner)
+
+    def add(self, owner: ChargeOwner, size: int) -> None:
+        """Charge `size` bytes to an owner; a negative size releases them."""
+        self.bytes_by_owner[owner] += size
+        self.used_bytes += size
+        self.peak_bytes = max(self.peak_bytes, self.used_bytes)
+
+    def take_peak_bytes(self) -> int:
+        """Return the highest sum of charges since the last call."""
+        peak_bytes, self.peak_bytes = self.peak_bytes, self.used_bytes
+        return peak_bytes
 
     def set_process_count(self, processes: int) -> None:
         """Divide the memory among the `processes` of this gateway."""
@@ -94,13 +118,15 @@
 class MemoryCharge:
     """What one connection has charged to an account."""
 
-    __slots__ = ("account", "charged_bytes")
+    __slots__ = ("account", "charged_bytes", "owner")
 
-    def __init__(self, account: MemoryAccount) -> None:
+    def __init__(self, account: MemoryAccount, owner: ChargeOwner) -> None:
         self.account = account
+        self.owner = owner
         self.charged_bytes = 0
 
     def update(self, held_bytes: int) -> None:
         """Charge what the connection holds now, in place of what it held before."""
-        self.account.used_bytes += held_bytes - self.charged_bytes
-        self.charged_bytes = held_bytes
+        if held_bytes != self.charged_bytes:
+            self.account.add(self.owner, held_bytes - self.charged_bytes)
+            self.charged_bytes = held_bytes
--- a/cloverkeel/core/metrics.py
+++ b/cloverkeel/core/metrics.py
@@ -5,7 +5,7 @@
 
 The keys of the line are a stored format and must not change; only `format_line` maps this module's names to them:
 received "asked", rejected "refused", rejections by reason "why", unserved "door", leases "duties", gossip "sharing",
-endpoint entries "lines", events "events", resources "held".
+endpoint entries "lines", events "events", resources "held", the event loop "loop".
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from cloverkeel.balancing.events import Outcome
 
 METRICS_INTERVAL_US: Final = 1_000_000
+US_PER_MS: Final = 1000
 # Further hosts share one row, so that a line fits into a single atomic write to a pipe (PIPE_BUF, 4 KiB).
 MAX_HOSTS_PER_LINE: Final = 64
 OTHER_HOSTS: Final = -1  # server number of the row that further hosts share
@@ -42,6 +43,8 @@
         self.row_by_server: dict[int, list[int]] = {}
         self.leases: list[int] = []  # figures in the order of docs/fleet.md; empty if leases are off
         self.gossip: list[int] = []  # figures in the order of docs/fleet.md; empty if gossip is off
+        self.heartbeat_due_us = 0  # when the next heartbeat is due; 0 before the first
+        self.max_loop_delay_us = 0  # longest delay of a heartbeat
         self.received_before_reset = 0  # requests in the lines written so far
 
     def record_unserved(self, reason: str) -> None:
@@ -57,6 +60,12 @@
         self.rejected_by_class[class_index] += 1
         self.rejections_by_reason[reason] = self.rejections_by_reason.get(reason, 0) + 1
 
+    def record_heartbeat(self, at_us: int, interval_us: int) -> None:
+        """Record by how much a heartbeat is late."""
+        if self.heartbeat_due_us:
+            self.max_loop_delay_us = max(self.max_loop_delay_us, at_us - self.heartbeat_due_us)
+        self.heartbeat_due_us = at_us + interval_us
+
     def record_attempt(self, server: int) -> None:
         """Count a started attempt."""
         self._row_of(server)[ATTEMPTS_COLUMN] += 1
@@ -82,7 +91,7 @@
         if not self._has_activity(entries):
             return None
         line: dict[str, object] = {
-            "ms": at_us // 1000,
+            "ms": at_us // US_PER_MS,
             "shed": [round(ratio, 2) for ratio in shed_ratios],
             "asked": self.received_by_class,
             "refused": self.rejected_by_class,
@@ -101,6 +110,7 @@
             line["events"] = self.events_by_name
         if resources:
             line["held"] = list(resources)
+            line["loop"] = [self.max_loop_delay_us // US_PER_MS]
         if self.leases:
             line["duties"] = self.leases
         if self.gossip:
@@ -118,6 +128,7 @@
         self.unserved_by_reason = {}
         self.events_by_name = {}
         self.row_by_server = {}
+        self.max_loop_delay_us = 0
 
     def _row_of(self, server: int) -> list[int]:
         """Return the row of a host, or the shared row if the line already has MAX_HOSTS_PER_LINE hosts."""
--- a/cloverkeel/frontends/http1/client_transport.py
+++ b/cloverkeel/frontends/http1/client_transport.py
@@ -8,7 +8,7 @@
 import struct
 from typing import TYPE_CHECKING, Final, cast
 
-from cloverkeel.core.memory_account import MemoryCharge
+from cloverkeel.core.memory_account import ChargeOwner, MemoryCharge
 from cloverkeel.frontends.http1.delivery_progress import DeliveryProgress
 from cloverkeel.frontends.http1.timeouts import LINGER_TIMEOUT_S, WRITE_TIMEOUT_S, Phase
 
@@ -39,7 +39,7 @@
         self.is_delimited_by_close = False  # the end of the connection ends the present response
         self.is_write_paused = False  # the client does not read its responses
         self.progress = DeliveryProgress()
-        self.charge = MemoryCharge(context.account)
+        self.charge = MemoryCharge(context.account, ChargeOwner.CLIENTS)
         self.poll = select.poll()
 
     def is_idle(self) -> bool:
--- a/cloverkeel/frontends/http1/server.py
+++ b/cloverkeel/frontends/http1/server.py
@@ -84,7 +84,8 @@
         paused = sum(1 for connection in self.connections if connection.is_reading_paused)
         return [
             resident_bytes() // BYTES_PER_KIB, self.client_count, paused, self.admission.hosts.open_connections,
-            self.account.used_bytes, self.account.limit_bytes,
+            self.account.used_bytes, self.account.limit_bytes, self.account.take_peak_bytes(),
+            *self.account.bytes_by_owner,
         ]  # fmt: skip
 
     def scan_expired(self) -> None:
--- a/cloverkeel/upstream/connection.py
+++ b/cloverkeel/upstream/connection.py
@@ -7,7 +7,7 @@
 from typing import cast
 
 from cloverkeel.core.clock import now_us
-from cloverkeel.core.memory_account import HOST_CONNECTION_BYTES, MemoryAccount, MemoryCharge
+from cloverkeel.core.memory_account import HOST_CONNECTION_BYTES, ChargeOwner, MemoryAccount, MemoryCharge
 from cloverkeel.core.messages import Reply
 from cloverkeel.protocols.http1 import ReplyError, ReplyReader
 from cloverkeel.upstream.attempt import Attempt
@@ -61,7 +61,7 @@
         self.replies = ReplyReader(
             handler.buffered_response_bytes, on_stream_start=self.on_stream_start, on_chunk=self.on_chunk
         )
-        self.charge = MemoryCharge(handler.account)
+        self.charge = MemoryCharge(handler.account, ChargeOwner.HOSTS)
         self.is_flushed = True  # the kernel has taken the last byte written
         self.idle_since_us = 0
         self.is_counted = False  # in `open_connections` of its host and of the pool
