Shed ratios fall once no answer has come for half a second

Callers saw: nearly all requests refused (shed) 5, 15 and 40 s after an overload, with idle hosts. Cause: the ratios changed only with an answer, and at 0.95 one request in twenty gets one; with no traffic nothing changed. Change: LoadShedder.release lowers both by 0.4 a second from half a second after the last answer on. It works as an overload has answers more often than that.

--- a/cloverkeel/balancing/load_shedding.py
+++ b/cloverkeel/balancing/load_shedding.py
@@ -6,6 +6,8 @@
 
 Guards against queues that grow until no request meets its objective. The classes with the least gain for the
 operator's goal per unit of work are shed first.
+
+Invariant: without an answer that shows an overload, both ratios are 0 within RELEASE_DELAY_US and 1 / RELEASE_PER_S.
 """
 
 from __future__ import annotations
@@ -34,6 +36,8 @@
 MIN_SHED_STEP_PER_S: Final = 0.4  # per second since the last answer, also beyond SHED_STEP
 MAX_ANSWER_GAP_US: Final = 500_000  # longer gaps count as this: a single slow answer under low load may be chance
 MAX_SHED_RATIO: Final = 0.95  # answers to the requests still admitted show when to shed less
+RELEASE_DELAY_US: Final = 500_000  # after the last answer; from then on the ratios fall without any
+RELEASE_PER_S: Final = 0.4
 MIN_TIMEOUT_RATIO: Final = 0.5  # of the unloaded latency: a try with less time left is refused
 CLASSIFY_INTERVAL: Final = 16  # first tries after which classes are classified by priority again
 MAX_COUNTED_FIRST_TRIES: Final = 500  # above it the counts of requested and served first tries are halved
@@ -57,6 +61,7 @@
         self.low_priority_ratio = 0.0
         self.high_priority_ratio = 0.0
         self.adjusted_at_us = 0
+        self.released_at_us = 0  # up to when the ratios have been lowered for lack of answers
 
     def record_first_try(self, class_index: int) -> None:
         """Count a request that is not a retry."""
@@ -73,8 +78,25 @@
         """Count a first try that was answered within its objective."""
         self.served[class_index] += 1
 
+    def release(self, now_us: int) -> None:
+        """Lower the ratios by the time without any answer.
+
+        Guards against ratios that stay high after an overload: while most requests are shed, few answers come that
+        could lower them, and none at all if no requests come.
+        """
+        if self.low_priority_ratio <= 0.0 and self.high_priority_ratio <= 0.0:
+            return
+        since_us = max(self.released_at_us, self.adjusted_at_us + RELEASE_DELAY_US)
+        if now_us <= since_us:
+            return
+        self.released_at_us = now_us
+        change = -RELEASE_PER_S * (now_us - since_us) / 1e6
+        self.low_priority_ratio = _adjusted(self.low_priority_ratio, change)
+        self.high_priority_ratio = _adjusted(self.high_priority_ratio, change)
+
     def should_shed(self, now_us: int, request: Request) -> bool:
         """Return whether to refuse a request now."""
+        self.release(now_us)
         if self.settings.classes[request.class_index].late_weight <= 0.0 and now_us >= request.objective_us:
             return True  # a retry past its objective has no value
         if not self.client_timeouts.is_regular(request.class_index):
--- a/tests/balancing/test_load_shedding.py
+++ b/tests/balancing/test_load_shedding.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from cloverkeel.balancing.concurrency_limit import INITIAL_LIMIT, MIN_LIMIT
-from cloverkeel.balancing.load_shedding import MAX_SHED_RATIO
+from cloverkeel.balancing.load_shedding import MAX_SHED_RATIO, RELEASE_DELAY_US, RELEASE_PER_S
 from cloverkeel.balancing.circuit_breaker import BreakerState
 from cloverkeel.balancing.events import Outcome
 from cloverkeel.balancing.settings import Effect, RequestClass, Scope, Settings
@@ -227,3 +227,32 @@
         )
         same_server += first == second
     assert same_server > 180
+
+
+def test_shed_ratios_fall_without_answers() -> None:
+    """Most requests were refused long after an overload, as the few that were admitted hardly lowered the ratios."""
+    driver = Driver(SETTINGS)
+    shedder = driver.balancer.load_shedder
+    shedder.low_priority_ratio = shedder.high_priority_ratio = MAX_SHED_RATIO
+    shedder.adjusted_at_us = driver.now_us
+    driver.now_us += RELEASE_DELAY_US
+    shedder.release(driver.now_us)
+    assert driver.balancer.shed_ratios() == (MAX_SHED_RATIO, MAX_SHED_RATIO)  # an overload answers slowly
+    driver.now_us += int(MAX_SHED_RATIO / RELEASE_PER_S * 1e6) + 1
+    for _ in range(20):
+        _, actions = driver.start_request(class_index=0, client_timeout_us=CLIENT_TIMEOUTS_US[0])
+        assert send_actions(actions)
+
+
+def test_shed_ratios_stay_high_while_slow_answers_come() -> None:
+    """A ratio that fell during an overload would let the queues of the servers grow again."""
+    driver = Driver(SETTINGS)
+    shedder = driver.balancer.load_shedder
+    for _ in range(50):
+        shedder.low_priority_ratio = shedder.high_priority_ratio = 0.0  # the request is admitted
+        name, actions = driver.start_request(class_index=1, client_timeout_us=CLIENT_TIMEOUTS_US[1])
+        shedder.high_priority_ratio = MAX_SHED_RATIO
+        driver.now_us += 400_000
+        driver.end_attempt(name, send_actions(actions)[0].server, latency_us=400_000)
+        shedder.release(driver.now_us)
+        assert shedder.high_priority_ratio == MAX_SHED_RATIO
