A connection whose client has left yields its place to a new one

Callers saw: connections closed with no byte (full, crowded) while eight clients pipelined requests on ever new connections and left.

--- a/cloverkeel/frontends/http1/admission.py
+++ b/cloverkeel/frontends/http1/admission.py
@@ -85,15 +85,26 @@
     def close_one_client(self) -> bool:
         """Close one client, the first of these that there is.
 
-        One that has its last response, one idle for a while, one whose request has stalled, any idle one.
+        One whose client has left, one that has its last response, one idle for a while, one whose request has
+        stalled, any idle one.
         """
         return (
-            self._abort_answered_client()
+            self._abort_abandoned_client()
+            or self._abort_answered_client()
             or self._close_idle_client(EVICT_FIRST_IDLE_S)
             or self._abort_slow_client()
             or self._close_idle_client(0.0)
         )
 
+    def _abort_abandoned_client(self) -> bool:
+        """Abort a connection whose client has left while nothing is read of it: the loop does not see the end."""
+        for connection in self.connections:
+            if connection.is_reading_paused and connection.has_disconnected():
+                self.metrics.record_unserved("left")
+                connection.abort()
+                return True
+        return False
+
     def _abort_answered_client(self) -> bool:
         """Abort a connection that only waits for its client to read an error response which has arrived."""
         for connection in self.timeouts.closing:
