Replies of discovery, hosts on the list and operators' connections are charged

Callers saw: nothing known; a reply of 600 kB whose entries are no hosts made a gateway hold 112 MB with nothing charged. Cause: a reply was bounded by its bytes alone, while small decoded values occupy some twenty times theirs; each unusable entry was logged. Change: ReplyMemory charges what has arrived, then the body and an upper estimate of its decoded values; without room the call fails and the former list stays. At most 20 unusable entries of a list are logged. Discovery's input takes turns with the other peers'. It works as the estimate is taken before the values exist.

--- a/cloverkeel/admin/endpoint.py
+++ b/cloverkeel/admin/endpoint.py
@@ -26,7 +26,7 @@
     ) -> None:
         self._coordinator = ProcessCoordinator(shared_folder_path(config), server, ejection_filter)
         self._handler = CommandHandler(self._coordinator, extensions)
-        self._listener = AdminListener(self._handler.handle_line)
+        self._listener = AdminListener(self._handler.handle_line, server.account)
 
     async def start(self, address: Address) -> None:
         """Take over the state of the previous process, then listen; raise OSError if listening fails."""
--- a/cloverkeel/admin/listener.py
+++ b/cloverkeel/admin/listener.py
@@ -11,6 +11,7 @@
 
 from cloverkeel.admin.commands import LINE_TOO_LONG, MAX_LINE_BYTES, AdminAnswer, encode_answer
 from cloverkeel.core.config import Address
+from cloverkeel.core.memory_account import ADMIN_CONNECTION_BYTES, ChargeOwner, MemoryAccount, MemoryCharge
 
 MAX_CONNECTIONS: Final = 16  # bounds the file descriptors used for operators
 LINE_TIMEOUT_S: Final = 4.0  # from accepting a connection to its complete line
@@ -24,11 +25,13 @@
         self.transport: asyncio.Transport | None = None
         self.received = b""
         self.timer: asyncio.TimerHandle | None = None
+        self.charge = MemoryCharge(listener.account, ChargeOwner.ADMIN)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the timeout for its line."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport is not a subclass
         self.timer = asyncio.get_running_loop().call_later(LINE_TIMEOUT_S, transport.close)
+        self.charge.update(ADMIN_CONNECTION_BYTES)
         self.listener.on_connection(self)
 
     def data_received(self, data: bytes) -> None:
@@ -51,6 +54,7 @@
     def send_and_close(self, line: bytes) -> None:
         """Send the answer and close the connection after it is flushed."""
         assert self.transport is not None
+        self.charge.update(ADMIN_CONNECTION_BYTES + len(line))
         self.transport.write(line)
         self.transport.close()
 
@@ -58,14 +62,16 @@
         """Cancel the timeout and unregister the connection."""
         if self.timer is not None:
             self.timer.cancel()
+        self.charge.update(0)
         self.listener.connections.pop(self, None)
 
 
 class AdminListener:
     """The listening socket of the admin address. `handle_line` maps a command line to its answer line."""
 
-    def __init__(self, handle_line: Callable[[bytes], bytes]) -> None:
+    def __init__(self, handle_line: Callable[[bytes], bytes], account: MemoryAccount) -> None:
         self.handle_line = handle_line
+        self.account = account
         self.connections: dict[AdminConnection, None] = {}  # in order of arrival, oldest first
         self.server: asyncio.Server | None = None
 
--- a/cloverkeel/assembly.py
+++ b/cloverkeel/assembly.py
@@ -92,6 +92,7 @@
         registry = relay_client
     else:
         registry = HttpEndpointSource(config.discovery, config.names, config.settings.list_is_pushed)
+    registry.resources = resources
     source = _add_manual_ejections(config, _add_zookeeper(config, options, registry))
     sender = AttemptSender(config.settings, pool, resources, max_responses(config.sockets))
     gateway = Gateway(config, pool, sender, source, resources)
--- a/cloverkeel/core/endpoint_updates.py
+++ b/cloverkeel/core/endpoint_updates.py
@@ -15,16 +15,20 @@
 from cloverkeel.core.event_queue import EventProcessor
 from cloverkeel.core.list_batches import ListBatches
 from cloverkeel.core.log import log
+from cloverkeel.core.memory_account import HOST_ENTRY_BYTES, ChargeOwner, MemoryAccount, MemoryCharge
 from cloverkeel.core.ports import Endpoint, HostTable
 
 
 class EndpointUpdates:
     """Applies endpoint lists; each call returns the event that informs the balancer of the applied entries."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, hosts: HostTable, processor: EventProcessor) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, hosts: HostTable, processor: EventProcessor, account: MemoryAccount
+    ) -> None:
         self.loop = loop
         self.hosts = hosts
         self.processor = processor
+        self.charge = MemoryCharge(account, ChargeOwner.DISCOVERY)  # of the hosts on the list
         self.batches = ListBatches()
         self.on_applied: Callable[[int], None] | None = None  # called with `applied_entries` once no batch is pending
         self.applied_entries = 0  # since the last call of `on_applied`
@@ -90,6 +94,7 @@
             else:
                 is_ready = listed.status is ServerStatus.READY
                 self.hosts.update_host(listed.server, entry.name, entry.address, is_ready, listed.started_us)
+        self.charge.update(HOST_ENTRY_BYTES * self.hosts.host_count())
         return ServerList(kind, removed + tuple(entry.listed for entry in entries))
 
     def _has_changed(self, entry: Endpoint) -> bool:
--- a/cloverkeel/core/gateway.py
+++ b/cloverkeel/core/gateway.py
@@ -70,7 +70,7 @@
         self.timers = LoopTimers(self.loop)
         self.metrics = GatewayMetrics(len(config.settings.classes))
         self.queue = EventQueue(self.loop, self.stall_detector, self)
-        self.endpoint_updates = EndpointUpdates(self.loop, hosts, self)
+        self.endpoint_updates = EndpointUpdates(self.loop, hosts, self, resources.account)
         self.dispatcher = ActionDispatcher(
             config.settings, self.requests, self.queue, self.timers, self.metrics, hosts, upstream, endpoint_source,
             self.request_ids,
--- a/cloverkeel/discovery/connection.py
+++ b/cloverkeel/discovery/connection.py
@@ -6,9 +6,13 @@
 import select
 from typing import Final, cast
 
+from cloverkeel.core.clock import now_us
 from cloverkeel.core.config import Address
+from cloverkeel.core.input_scheduler import InputSource
 from cloverkeel.core.messages import Reply
-from cloverkeel.discovery.errors import ConnectionEndedError, DiscoveryCallError
+from cloverkeel.core.peer_resources import PeerResources
+from cloverkeel.discovery.errors import ConnectionEndedError, DiscoveryCallError, ReplyMemoryError
+from cloverkeel.discovery.reply_memory import ReplyMemory
 from cloverkeel.protocols.http1 import ReplyError, ReplyReader
 
 MAX_REPLY_BYTES: Final = 16 * 1024 * 1024  # of a body, before and after decompression
@@ -22,14 +26,18 @@
     return b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n%s\r\n" % (target, host.encode(), port, extra_headers)
 
 
-class DiscoveryConnection(asyncio.Protocol):
+class DiscoveryConnection(asyncio.Protocol, InputSource):
     """Send requests and wait for their replies.
 
     A reply that cannot be parsed closes the connection, and so do bytes that arrive while no reply is awaited: they
-    would be taken for the reply to the next request.
+    would be taken for the reply to the next request. So does a reply for which the memory account has no room.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, resources: PeerResources | None = None) -> None:
+        """`resources`: what all peers share; None to charge nothing and postpone nothing."""
+        InputSource.__init__(self)
+        self.resources = resources
+        self.memory = ReplyMemory(resources)
         self.transport: asyncio.Transport | None = None
         self.reply_reader = ReplyReader(MAX_REPLY_BYTES)
         self.pending_reply: asyncio.Future[Reply] | None = None
@@ -61,12 +69,30 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes of the reply (asyncio callback)."""
+        started_us = now_us()
+        self._parse(data)
+        if self.resources is not None:
+            self.resources.input_scheduler.record_input(self, started_us)
+
+    def pause_input(self) -> None:
+        """Read nothing until this connection's turn comes again."""
+        if self.is_open and self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_input(self) -> None:
+        """Read again."""
+        if self.is_open and self.transport is not None:
+            self.transport.resume_reading()
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; fail the request if they are malformed or there is no memory for them."""
         if self.pending_reply is None or self.pending_reply.done():
             self.close()
             return
         try:
             reply = self.reply_reader.feed(data)
-        except ReplyError as error:
+            self.memory.hold(self.reply_reader.held_bytes)
+        except (ReplyError, ReplyMemoryError) as error:
             self.fail(str(error))
             return
         if reply is not None:
@@ -75,6 +101,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Fail the pending request (asyncio callback)."""
         self.transport = None
+        self.memory.release()
         self.fail("the connection ended")
 
     def fail(self, cause: str) -> None:
--- a/cloverkeel/discovery/endpoint_parser.py
+++ b/cloverkeel/discovery/endpoint_parser.py
@@ -25,6 +25,7 @@
 
 ENTRIES_PER_STEP: Final = 8  # about 0.1 ms of parsing
 MAX_WEIGHT: Final = 1e9
+MAX_LOGGED_ENTRIES: Final = 20  # of one list that cannot be used
 MAX_LOGGED_CHARS: Final = 200  # of an invalid entry
 SERVER_ID_BYTES: Final = 4
 STATUS_BY_WIRE_NAME: Final = {
@@ -105,13 +106,15 @@
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints", []), list):
         raise EndpointListError
     endpoint_by_server: dict[int, Endpoint] = {}
+    invalid_count = 0
     for count, item in enumerate(raw.get("endpoints", [])):
         if count % ENTRIES_PER_STEP == 0:
             yield None
         try:
             endpoint = parse_endpoint(item, names)
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-            departed = _recover_removal(item, error)
+            invalid_count += 1
+            departed = _recover_removal(item, error, invalid_count <= MAX_LOGGED_ENTRIES)
             if departed is None:
                 continue
             endpoint = departed
@@ -120,14 +123,17 @@
             log(f"discovery: entry skipped, name={endpoint.name}, cause=id collides with {other.name}")
             continue
         endpoint_by_server[endpoint.listed.server] = endpoint
+    if invalid_count > MAX_LOGGED_ENTRIES:
+        log(f"discovery: further entries cannot be used, count={invalid_count - MAX_LOGGED_ENTRIES}")
     return EndpointList(int(raw["index"]), bool(raw.get("snapshot", False)), list(endpoint_by_server.values()))
 
 
-def _recover_removal(item: object, error: Exception) -> Endpoint | None:
-    """Log an invalid entry; return the removal of its host if the entry drains or deletes it, else None."""
+def _recover_removal(item: object, error: Exception, is_logged: bool) -> Endpoint | None:
+    """Log an invalid entry if `is_logged`; return the removal of its host if the entry drains or deletes it."""
     departed = parse_departed_endpoint(item)
     event = "entry skipped" if departed is None else "entry taken for a deletion"
-    log(f"discovery: {event}, cause={error!r}, entry={str(item)[:MAX_LOGGED_CHARS]}")
+    if is_logged:
+        log(f"discovery: {event}, cause={error!r}, entry={str(item)[:MAX_LOGGED_CHARS]}")
     return departed
 
 
--- a/cloverkeel/discovery/errors.py
+++ b/cloverkeel/discovery/errors.py
@@ -41,6 +41,14 @@
         self.coding = coding
 
 
+class ReplyMemoryError(DiscoveryCallError):
+    """The memory account has no room for a reply."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__(f"no memory for a reply that takes {size} bytes")
+        self.size = size
+
+
 class NotAListError(DiscoveryCallError):
     """The reply is JSON but not an endpoint list."""
 
--- a/cloverkeel/discovery/polling_client.py
+++ b/cloverkeel/discovery/polling_client.py
@@ -7,9 +7,9 @@
   parsing is cancelled;
 - a catch-up after a stall waits for a reply that is being parsed, which then continues without suspending: no request
   is sent to a host before that;
-- memory and time are bounded: MAX_REPLY_BYTES before and after decompression; MAX_INCREMENTAL_READ_S after a reply
-  has arrived, the rest is parsed without suspending. This time is not part of the timeouts in poll_schedule.py and
-  lengthens each of their sums by at most MAX_INCREMENTAL_READ_S.
+- memory is bounded by the memory account, and by MAX_REPLY_BYTES before and after decompression;
+- MAX_INCREMENTAL_READ_S after a reply has arrived, the rest is parsed without suspending. This time is not part of
+  the timeouts in poll_schedule.py and lengthens each of their sums by at most MAX_INCREMENTAL_READ_S.
 """
 
 from __future__ import annotations
@@ -26,16 +26,13 @@
 from cloverkeel.core.incremental_json import decode_json
 from cloverkeel.core.log import log
 from cloverkeel.core.messages import Reply
+from cloverkeel.core.peer_resources import PeerResources
 from cloverkeel.discovery.connection import HTTP_OK, DiscoveryConnection, get_request
 from cloverkeel.discovery.errors import UnexpectedStatusError
 from cloverkeel.core.incremental import HintedIncremental, Result, run_to_completion
-from cloverkeel.discovery.poll_schedule import (
-    CONNECT_TIMEOUT_S,
-    EMPTY_REPLY_PAUSE_S,
-    MAX_INCREMENTAL_READ_S,
-    PollRequest,
-    PollSchedule,
-)
+from cloverkeel.discovery.poll_schedule import CONNECT_TIMEOUT_S, EMPTY_REPLY_PAUSE_S, MAX_INCREMENTAL_READ_S
+from cloverkeel.discovery.poll_schedule import PollRequest, PollSchedule
+from cloverkeel.discovery.reply_memory import ReplyMemory
 
 MAX_ATOMIC_READ_BYTES: Final = 64 << 10  # larger replies are parsed incrementally; 200 hosts take about 33 KB
 READ_SLICE_S: Final = 0.00025  # parsing time between two turns of the event loop
@@ -60,6 +57,7 @@
         """`pushed`: the core does not request lists; this client watches from the start and retries failures."""
         self.pushed = pushed
         self.address = address
+        self.resources: PeerResources | None = None  # what all peers share; set by the assembly
         self.schedule = PollSchedule()
         self.is_closed = False
         self.poll_task: asyncio.Task[None] | None = None
@@ -116,13 +114,16 @@
         """Handle a reply; the event loop runs other tasks between the steps of a long one."""
         deadline_s = time.monotonic() + self.max_incremental_read_s
         self.is_reading = True
+        memory = ReplyMemory(self.resources)
         try:
             body = await self._run_cooperatively(self.decode_content(reply), deadline_s)
+            memory.hold_decoded(body)
             if len(body) <= self.max_atomic_read_bytes:
                 return self.handle_body_at_once(body)
             return await self._run_cooperatively(self.handle_body(body), deadline_s)
         finally:
             self.is_reading = False
+            memory.release()
 
     async def _run_cooperatively(self, steps: HintedIncremental[Result], deadline_s: float) -> Result:
         slice_end_s = time.monotonic() + self.read_slice_s
@@ -291,7 +292,9 @@
             return connection
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(DiscoveryConnection, *self.server_address())
+            _, connection = await loop.create_connection(
+                lambda: DiscoveryConnection(self.resources), *self.server_address()
+            )
         self.connection = connection
         self.schedule.on_connected()
         return connection
--- a/cloverkeel/discovery/relay_client.py
+++ b/cloverkeel/discovery/relay_client.py
@@ -167,7 +167,9 @@
         requested_s, age_s = loop.time(), None
         try:
             async with asyncio.timeout(FRESHNESS_CHECK_TIMEOUT_S):
-                _, connection = await loop.create_connection(DiscoveryConnection, *relay.address)
+                _, connection = await loop.create_connection(
+                    lambda: DiscoveryConnection(self.resources), *relay.address
+                )
                 reply = await connection.request(get_request(relay.address, STATE_PATH))
             if reply.status == HTTP_OK:
                 age_s = parse_state_age_s(reply.body)
--- a/tests/golden/admin.py
+++ b/tests/golden/admin.py
@@ -12,6 +12,7 @@
 
 from cloverkeel.assembly import assemble
 from cloverkeel.core.config import parse as parse_config
+from cloverkeel.core.memory_account import MemoryAccount
 from cloverkeel.frontends.http1.server import Server
 from cloverkeel.discovery.ejection_filter import EjectionFilter
 from cloverkeel.admin.command_handler import CommandHandler
@@ -131,7 +132,7 @@
 
 def _exchange(handler: CommandHandler, line: bytes) -> bytes:
     transport = _RecordingTransport()
-    connection = AdminConnection(AdminListener(handler.handle_line))
+    connection = AdminConnection(AdminListener(handler.handle_line, MemoryAccount(64, 0)))
     connection.connection_made(transport)
     connection.data_received(line + b"\n")
     connection.connection_lost(None)
