--- a/benchmarks/limits_soak.py
+++ b/benchmarks/limits_soak.py
@@ -48,8 +48,8 @@
 RECENT_DELAYS: Final = 100
 LEFT_S: Final = 0.1  # attempts that begin up to this time after a close are allowed
 KILL_AFTER_TERM_S: Final = max(TIMEOUT_S.values()) + 0.7
-LIMITS: Final = [(96, 512), (96, 1024), (192, 1024)]
-MISUSE: Final = ("slow", "half", "early", "fields", "unread", "silent")
+LIMITS: Final = [(64, 1024), (80, 1024), (96, 512), (96, 1024), (192, 1024)]
+MISUSE: Final = ("slow", "half", "early", "fields", "unread", "silent", "chunks")
 LARGE: Final = bytes(range(250)) * 800  # 200,000 bytes
 
 
@@ -281,6 +281,19 @@
         await asyncio.sleep(rng.choice((0.5, 2.0)))
         client.close()
 
+    async def play_chunks(self, rng: random.Random) -> None:
+        """Send a body in chunks of one or two bytes, and stop or leave."""
+        client = await connect(self.port)
+        size = rng.choice((1, 2))
+        chunk = b"%x\r\n" % size + b"x" * size + b"\r\n"
+        client.send(request("transfer", content_length="", transfer_encoding="chunked"))
+        for _ in range(rng.choice((1, 10, 50))):
+            client.send(chunk * 2_000)
+            await client.writer.drain()
+        if rng.random() < 0.5:
+            await client.reader.read()
+        client.close()
+
     async def play_silent(self, rng: random.Random) -> None:
         """Connect and say nothing, or half a line."""
         client = await connect(self.port)
--- a/cloverkeel/core/input_scheduler.py
+++ b/cloverkeel/core/input_scheduler.py
@@ -41,6 +41,24 @@
         raise NotImplementedError
 
 
+class TransportInput(InputSource):
+    """The input of a transport that is read unless it is postponed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.transport: asyncio.ReadTransport | None = None  # None before the connection is made and after its end
+
+    def pause_input(self) -> None:
+        """Stop reading, until `resume_input`."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_input(self) -> None:
+        """Read again."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+
 class InputScheduler:
     """Measures the time spent on input, and postpones connections."""
 
--- a/cloverkeel/discovery/connection.py
+++ b/cloverkeel/discovery/connection.py
@@ -8,7 +8,7 @@
 
 from cloverkeel.core.clock import now_us
 from cloverkeel.core.config import Address
-from cloverkeel.core.input_scheduler import InputSource
+from cloverkeel.core.input_scheduler import TransportInput
 from cloverkeel.core.messages import Reply
 from cloverkeel.core.peer_resources import PeerResources
 from cloverkeel.discovery.errors import ConnectionEndedError, DiscoveryCallError, ReplyMemoryError
@@ -26,7 +26,7 @@
     return b"GET %s HTTP/1.1\r\nHost: %s:%d\r\n%s\r\n" % (target, host.encode(), port, extra_headers)
 
 
-class DiscoveryConnection(asyncio.Protocol, InputSource):
+class DiscoveryConnection(asyncio.Protocol):
     """Send requests and wait for their replies.
 
     A reply that cannot be parsed closes the connection, and so do bytes that arrive while no reply is awaited: they
@@ -35,8 +35,8 @@
 
     def __init__(self, resources: PeerResources | None = None) -> None:
         """`resources`: what all peers share; None to charge nothing and postpone nothing."""
-        InputSource.__init__(self)
         self.resources = resources
+        self.input = TransportInput()
         self.memory = ReplyMemory(resources)
         self.transport: asyncio.Transport | None = None
         self.reply_reader = ReplyReader(MAX_REPLY_BYTES)
@@ -46,6 +46,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport (asyncio callback)."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport does not subclass asyncio's
+        self.input.transport = self.transport
         self.socket_poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
 
     @property
@@ -72,17 +73,7 @@
         started_us = now_us()
         self._parse(data)
         if self.resources is not None:
-            self.resources.input_scheduler.record_input(self, started_us)
-
-    def pause_input(self) -> None:
-        """Read nothing until this connection's turn comes again."""
-        if self.is_open and self.transport is not None:
-            self.transport.pause_reading()
-
-    def resume_input(self) -> None:
-        """Read again."""
-        if self.is_open and self.transport is not None:
-            self.transport.resume_reading()
+            self.resources.input_scheduler.record_input(self.input, started_us)
 
     def _parse(self, data: bytes) -> None:
         """Parse bytes; fail the request if they are malformed or there is no memory for them."""
@@ -100,7 +91,7 @@
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Fail the pending request (asyncio callback)."""
-        self.transport = None
+        self.transport = self.input.transport = None
         self.memory.release()
         self.fail("the connection ended")
 
