Only time postponed within a response is left out of the latency of a host

Cause: a connection could be postponed before the response to its next request began; all of that time was left out, also that which the host took, so that latencies near 0 would have made usual ones look like an overload for long. Change: the time counts only if the response had begun when it was postponed. Measured: test_postponed_input.py passes on the plain build; by reading, its case without a response fails before, as the time of each postponement was added. The two cases of hosts that send tiny chunks pass on the plain build.

--- a/cloverkeel/upstream/connection.py
+++ b/cloverkeel/upstream/connection.py
@@ -83,7 +83,7 @@
         self.copied_bytes = 0  # of the request as it was written, without a large body
         self.is_flushed = True  # the kernel has taken the last byte written
         self.idle_since_us = 0
-        self.postponed_us = 0  # when reading was last postponed
+        self.postponed_us = 0  # when reading was postponed within a response; 0 if it was not
         self.is_counted = False  # in `open_connections` of its host and of the pool
         self.poll = select.poll()
 
@@ -164,7 +164,8 @@
 
     def pause_input(self) -> None:
         """Read nothing until this connection's turn comes again."""
-        self.postponed_us = now_us()
+        # Before a response has begun, the host may be the one that takes the time.
+        self.postponed_us = now_us() if self.replies.has_begun else 0
         if self.transport is not None:
             self.transport.pause_reading()
 
