--- a/benchmarks/guards/mutants/protocols.py
+++ b/benchmarks/guards/mutants/protocols.py
@@ -10,7 +10,7 @@
     """A connection with bytes after a response is reused."""
     from cloverkeel.protocols.http1 import ReplyReader
 
-    patch_source(ReplyReader, "feed", ("self._reply.keep_alive = False", "pass"))
+    patch_source(ReplyReader, "_feed_slice", ("self._reply.keep_alive = False", "pass"))
 
 
 @mutant("reply-ends-read")
--- a/benchmarks/guards/table/protocols.py
+++ b/benchmarks/guards/table/protocols.py
@@ -5,7 +5,7 @@
 from benchmarks.guards.row import row
 
 ROWS = (
-    row("replies-behind", "bytes after a response are not taken for another response", "ReplyReader.feed",
+    row("replies-behind", "bytes after a response are not taken for another response", "ReplyReader._feed_slice",
         tests="upstream/connection_pool::second_response_ends_the_connection"),
     row("reply-ends-read", "a response is not cut off by bytes behind it in the same read",
         "ReplyReader.on_message_begin",
