A stall of the process during a read is not taken for time of its input

Callers saw: nothing in service; requests answered late or never at a gateway that had been stopped (SIGSTOP) while it read. Cause: InputScheduler counted the whole stop as time of the read, and left postponed connections unread for as long. Change: 50 ms at most are recorded for one read.

--- a/cloverkeel/core/input_scheduler.py
+++ b/cloverkeel/core/input_scheduler.py
@@ -21,6 +21,7 @@
 MAX_ITERATION_INPUT_US: Final = 10_000  # of all connections in one iteration of the loop
 MAX_SOURCE_INPUT_US: Final = 2_000  # of one connection in one iteration
 LATE_READ_BYTES: Final = 1024  # of one read in an iteration whose time is used up
+MAX_RECORDED_INPUT_US: Final = 50_000  # of one read; a longer time is a stall of the process, not its input
 MIN_RESUME_DELAY_S: Final = 0.001
 
 
@@ -79,7 +80,7 @@
 
     def record_input(self, source: InputSource, started_us: int) -> None:
         """Record that input of a connection was handled since `started_us`; postpone the connection if need be."""
-        spent_us = max(0, now_us() - started_us)
+        spent_us = min(MAX_RECORDED_INPUT_US, max(0, now_us() - started_us))
         if not self.is_iteration_begun:
             self.is_iteration_begun = True
             self.loop.call_soon(self._end_iteration)
--- a/tests/core/test_input_scheduler.py
+++ b/tests/core/test_input_scheduler.py
@@ -86,3 +86,14 @@
     scheduler.record_input(source, now_us() - 50_000)
     await wait_until(lambda: resumed_s)
     assert resumed_s[0] - started_s >= 0.049
+
+
+@on_loop
+async def test_stall_of_the_process_during_a_read_is_not_taken_for_input() -> None:
+    """Guards against connections that are not read for as long as the process was stopped."""
+    scheduler = InputScheduler(asyncio.get_running_loop())
+    source, resumed_s = create_source()
+    started_s = time.monotonic()
+    scheduler.record_input(source, now_us() - 3_500_000)
+    await wait_until(lambda: resumed_s)
+    assert resumed_s[0] - started_s < 0.5
