Review, case 6: a connection whose input was costly is not read for seconds

The wait before a postponed connection is read again is the time of all input since the last such wait, so it grows without bound while nothing is postponed: 0.14 s for each second at 240 small requests a second. Change: the new case 6; the cases before it are now 7 (memory), 8 (upgrade), 9 (planned restart) and 10 (the end of an answer).

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,126 +1,136 @@
-"""The process is replaced while discovery is down: a host whose drain the gateway was told gets nothing new."""
+"""Clients pipeline requests, a large one last, and pause: the gateway stays within its memory limit."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import contextlib
+import socket
 from pathlib import Path
 
-from parties import (
-    LOOPBACK,
-    CannotRunError,
-    Discovery,
-    Gateway,
-    Host,
-    Message,
-    Trial,
-    build_response,
-    free_port,
-    has_trouble,
-    main,
-    read_message,
-    site_settings,
-)
-
-DRAIN_S = 3.0
-DOWN_S = 5.0
-DOWN_FOR_S = 8.0
-UPGRADE_S = 5.5
-END_S = 16.0
-YES_WITHIN_S = 6.0
-BINDS_AFTER_YES_S = 2.0
-GRACE_S = 1.0 + 0.05  # the settings' grace, and 50 ms on sockets
-INTERVAL_S = 0.04
-KILL_AFTER_S = 3.7
-
-
-async def send_requests(trial: Trial, gateway: Gateway) -> None:
-    """Send requests one after another, each on a new connection."""
-    number = 0
-    while True:
-        number += 1
-        id_ = f"e{number:04d}"
-        try:
-            reader, writer = await asyncio.open_connection(LOOPBACK, gateway.port)
-            writer.write(
-                f"GET /search/k{number} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id_}\r\n"
-                f"X-Call-Class: search\r\nX-Budget-Ms: 750\r\n\r\n".encode()
-            )
-            reply = await read_message(reader)
-            trial.record.add(f"client: answer id={id_} status={reply.status}")
-            writer.close()
-        except (OSError, asyncio.IncompleteReadError) as error:
-            trial.record.add(f"client: no answer id={id_} error={error!r}")
-        await asyncio.sleep(INTERVAL_S)
-
-
-async def replace_process(trial: Trial, old: Gateway) -> float:
-    """Replace the process as the operators' page says; return when the new one said yes."""
-    new = Gateway(trial, old.config, f"{LOOPBACK}:{free_port()}", old)
-    new.start()
-    started_s = trial.record.now_s()
-    while not (await new.call("STATUS")).startswith("ACK"):
-        if trial.record.now_s() > started_s + YES_WITHIN_S:
-            raise CannotRunError(new.log_text())
-        await asyncio.sleep(0.1)
-    yes_s = trial.record.now_s()
-    trial.record.add("platform: the new process says yes")
-    old.signal(signal.SIGTERM)
-    return yes_s
+from parties import LOOPBACK, MIB, Discovery, Gateway, Host, Message, Trial, has_trouble, main, site_settings
+
+MEMORY_MB = 128
+CLIENTS = 10
+SMALL_BYTES = 56 * 1024  # returned whole, as any body of at most 64 KiB
+LARGE_BYTES = 32 * MIB
+PIECE_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 64 * 1024
+PROBE_REQUESTS = 120
+QUIET_S = 1.0  # with no further request of the probing client
+SMALL_BEFORE_LARGE = (1, 2)  # fewer small answers than the probing client got before its connection was full
+UNREAD_S = 6.0  # less than the 10 s for which a client may read nothing
+READ_TIMEOUT_S = 3.0
+WATCH_INTERVAL_S = 0.02
+
+
+async def answer(host: Host, request: Message, writer: asyncio.StreamWriter) -> None:
+    """Answer with as many bytes as the target asks for."""
+    size = int(request.target.rpartition("=")[2])
+    host.trial.record.add(f"{host.name}: run id={request.headers['x-call-id']} bytes={size}")
+    await asyncio.sleep(0.01)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    piece = b"a" * min(size, PIECE_BYTES)
+    for _ in range(size // len(piece)):
+        writer.write(piece)
+        await writer.drain()
+
+
+def build_request(id_: str, size: int) -> bytes:
+    """Return a request of the class that is safe to repeat."""
+    return (
+        f"GET /search/k1?bytes={size} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id_}\r\n"
+        f"X-Call-Class: search\r\nX-Budget-Ms: 750\r\n\r\n"
+    ).encode()
+
+
+async def connect(gateway: Gateway) -> socket.socket:
+    """Return a client's connection."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (LOOPBACK, gateway.port))
+    return sock
+
+
+async def count_until_full(gateway: Gateway, ran: list[str]) -> int:
+    """Return after how many small answers the gateway handles no more requests of a client that reads none."""
+    loop = asyncio.get_running_loop()
+    sock = await connect(gateway)
+    with sock:
+        requests = b"".join(build_request(f"f{number:04x}", SMALL_BYTES) for number in range(PROBE_REQUESTS))
+        sending = asyncio.create_task(loop.sock_sendall(sock, requests))
+        count, changed_s = 0, loop.time()
+        while loop.time() - changed_s < QUIET_S:
+            if len(ran) != count:
+                count, changed_s = len(ran), loop.time()
+            await asyncio.sleep(WATCH_INTERVAL_S)
+        sending.cancel()
+    return count
+
+
+async def run_client(trial: Trial, gateway: Gateway, number: int, small_answers: int) -> None:
+    """Ask for small answers and a large one at once; read nothing for a while if there is trouble, then all."""
+    loop = asyncio.get_running_loop()
+    sock = await connect(gateway)
+    with sock:
+        requests = [build_request(f"{number:04x}{count:04x}", SMALL_BYTES) for count in range(small_answers)]
+        requests.append(build_request(f"{number:04x}ffff", LARGE_BYTES))
+        await loop.sock_sendall(sock, b"".join(requests))
+        trial.record.add(f"client {number}: sent requests={len(requests)}")
+        if has_trouble():
+            await asyncio.sleep(UNREAD_S)
+        received = 0
+        while received < small_answers * SMALL_BYTES + LARGE_BYTES:
+            try:
+                data = await asyncio.wait_for(loop.sock_recv(sock, PIECE_BYTES), READ_TIMEOUT_S)
+            except TimeoutError:
+                break
+            if not data:
+                break
+            received += len(data)
+        trial.record.add(f"client {number}: read bytes={received}")
 
 
 async def case(trial: Trial) -> list[str]:
-    """Let a host drain, take discovery down, and replace the process."""
-    runs: list[tuple[float, str]] = []
-
-    async def answer(host: Host, request: Message, writer: asyncio.StreamWriter) -> None:
-        id_ = request.headers["x-call-id"]
-        trial.record.add(f"{host.name}: got id={id_} status={host.status}")
-        if host.status == "DRAINING":  # it stays up and answers what comes
-            runs.append((trial.record.now_s(), id_))
-        await asyncio.sleep(0.03)
-        writer.write(build_response(id_.encode()))
-
-    hosts = [Host(trial, f"s-{number}", answer) for number in range(4)]
+    """Run the clients and watch the memory of the gateway."""
+    ran: list[str] = []
+
+    async def run(host: Host, request: Message, writer: asyncio.StreamWriter) -> None:
+        ran.append(request.headers["x-call-id"])
+        await answer(host, request, writer)
+
+    hosts = [Host(trial, f"s-{number}", run) for number in range(4)]
     for host in hosts:
         await host.start()
     discovery = Discovery(trial, hosts)
     await discovery.start()
-    old = Gateway(trial, trial.config(discovery, site_settings()), f"{LOOPBACK}:{free_port()}")
-    old.start()
-    await old.wait_until_ready()
-    client = asyncio.create_task(send_requests(trial, old))
-    begun_s = trial.record.now_s()
-
-    async def wait_until(at_s: float) -> None:
-        await asyncio.sleep(max(0.0, begun_s + at_s - trial.record.now_s()))
-
-    await wait_until(DRAIN_S)
-    discovery.change(hosts[0], "DRAINING")
-    await wait_until(DOWN_S)
-    told_s = discovery.told.get("s-0 DRAINING")
-    if told_s is None:
-        raise CannotRunError(old.log_text())
-    if has_trouble():
-        discovery.go_down(True)
-    await wait_until(UPGRADE_S)
-    yes_s = await replace_process(trial, old)
-    await asyncio.sleep(KILL_AFTER_S)
-    old.kill()
-    await wait_until(DOWN_S + DOWN_FOR_S)
-    if has_trouble():
-        discovery.go_down(False)
-    await wait_until(END_S)
-    client.cancel()
-    binds_s = max(told_s, yes_s + BINDS_AFTER_YES_S) + GRACE_S
-    late = [(at_s, id_) for at_s, id_ in runs if told_s + GRACE_S < at_s < begun_s + UPGRADE_S or at_s > binds_s]
-    trial.record.add(f"told_s={told_s:.2f} yes_s={yes_s:.2f} binds_s={binds_s:.2f} late={len(late)}")
-    if not late:
-        return []
-    return [
-        f"s-0 got {len(late)} requests later than its drain binds, the last {late[-1][0] - told_s:.1f} s after it was"
-        f" told and {late[-1][0] - yes_s:.1f} s after the new process said yes"
+    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 384}
+    gateway = Gateway(trial, trial.config(discovery, site_settings(), limits=limits))
+    gateway.start()
+    await gateway.wait_until_ready()
+    full = await count_until_full(gateway, ran)
+    trial.record.add(f"client: a connection is full after small_answers={full}")
+    clients = [
+        asyncio.create_task(run_client(trial, gateway, number, full - SMALL_BEFORE_LARGE[number % 2]))
+        for number in range(CLIENTS)
     ]
+    peak_mb, logged_mb = 0.0, 0.0
+    while peak_mb <= MEMORY_MB and not all(client.done() for client in clients):
+        peak_mb = max(peak_mb, gateway.resident_mb())
+        if peak_mb > logged_mb + 8:
+            logged_mb = peak_mb
+            trial.record.add(f"platform: resident_mb={peak_mb:.0f} limit_mb={MEMORY_MB}")
+        await asyncio.sleep(WATCH_INTERVAL_S)
+    for client in clients:
+        client.cancel()
+        with contextlib.suppress(asyncio.CancelledError, OSError):
+            await client
+    trial.record.add(f"platform: peak resident_mb={peak_mb:.1f} limit_mb={MEMORY_MB}")
+    if peak_mb > MEMORY_MB:
+        return [f"the gateway holds {peak_mb:.0f} MB, its limit is {MEMORY_MB} MB: the platform kills it"]
+    if gateway.has_ended:
+        return ["the gateway has ended"]
+    return []
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,111 +1,126 @@
-"""A planned restart while a client takes a large answer: the gateway does not cut off what the host still gives."""
+"""The process is replaced while discovery is down: a host whose drain the gateway was told gets nothing new."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
-import socket
 from pathlib import Path
 
 from parties import (
     LOOPBACK,
-    MIB,
+    CannotRunError,
     Discovery,
     Gateway,
     Host,
     Message,
     Trial,
+    build_response,
+    free_port,
     has_trouble,
     main,
-    read_head,
+    read_message,
     site_settings,
 )
 
-ANSWER_BYTES = 20 * MIB
-PIECE_BYTES = 128 * 1024
-RECEIVE_BUFFER_BYTES = 64 * 1024
-PIECE_PAUSE_S = 0.0625  # 2 MiB a second
-TERM_AFTER_S = 2.0  # from the first byte of the answer
-KILL_AFTER_S = 10.0  # from SIGTERM; no sooner than 3.7 s with a longest deadline of 3 s
-
-
-async def answer(host: Host, request: Message, writer: asyncio.StreamWriter) -> None:
-    """Answer with a large body, as fast as it is taken."""
-    id_ = request.headers["x-call-id"]
-    host.trial.record.add(f"{host.name}: run id={id_}")
-    await asyncio.sleep(0.06)
-    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % ANSWER_BYTES)
-    sent = 0
-    try:
-        while sent < ANSWER_BYTES:
-            writer.write(b"a" * PIECE_BYTES)
-            sent += PIECE_BYTES
-            await writer.drain()
-    except OSError:
-        host.trial.record.add(f"{host.name}: connection ended id={id_} sent={sent} of {ANSWER_BYTES}")
-        raise
-    host.trial.record.add(f"{host.name}: answered id={id_}")
-
-
-async def take_answer(trial: Trial, gateway: Gateway, begun: asyncio.Event) -> int:
-    """Ask for a large answer, take it evenly, and return how many bytes of its body came."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (LOOPBACK, gateway.port))
-    reader, writer = await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
-    writer.write(
-        b"GET /search/k1 HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: 5c2e\r\nX-Call-Class: search\r\n"
-        b"X-Budget-Ms: 750\r\n\r\n"
-    )
-    trial.record.add("client: sent id=5c2e")
-    head = await read_head(reader)
-    trial.record.add(f"client: head id=5c2e status={head.status} length={head.headers.get('content-length')}")
-    begun.set()
-    received = 0
-    try:
-        while received < ANSWER_BYTES:
-            data = await reader.read(PIECE_BYTES)
-            if not data:
-                break
-            received += len(data)
-            await asyncio.sleep(PIECE_PAUSE_S * len(data) / PIECE_BYTES)
-    except OSError as error:
-        trial.record.add(f"client: connection ended error={error!r}")
-    trial.record.add(f"client: received={received} of {ANSWER_BYTES}")
-    writer.close()
-    return received
+DRAIN_S = 3.0
+DOWN_S = 5.0
+DOWN_FOR_S = 8.0
+UPGRADE_S = 5.5
+END_S = 16.0
+YES_WITHIN_S = 6.0
+BINDS_AFTER_YES_S = 2.0
+GRACE_S = 1.0 + 0.05  # the settings' grace, and 50 ms on sockets
+INTERVAL_S = 0.04
+KILL_AFTER_S = 3.7
+
+
+async def send_requests(trial: Trial, gateway: Gateway) -> None:
+    """Send requests one after another, each on a new connection."""
+    number = 0
+    while True:
+        number += 1
+        id_ = f"e{number:04d}"
+        try:
+            reader, writer = await asyncio.open_connection(LOOPBACK, gateway.port)
+            writer.write(
+                f"GET /search/k{number} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id_}\r\n"
+                f"X-Call-Class: search\r\nX-Budget-Ms: 750\r\n\r\n".encode()
+            )
+            reply = await read_message(reader)
+            trial.record.add(f"client: answer id={id_} status={reply.status}")
+            writer.close()
+        except (OSError, asyncio.IncompleteReadError) as error:
+            trial.record.add(f"client: no answer id={id_} error={error!r}")
+        await asyncio.sleep(INTERVAL_S)
+
+
+async def replace_process(trial: Trial, old: Gateway) -> float:
+    """Replace the process as the operators' page says; return when the new one said yes."""
+    new = Gateway(trial, old.config, f"{LOOPBACK}:{free_port()}", old)
+    new.start()
+    started_s = trial.record.now_s()
+    while not (await new.call("STATUS")).startswith("ACK"):
+        if trial.record.now_s() > started_s + YES_WITHIN_S:
+            raise CannotRunError(new.log_text())
+        await asyncio.sleep(0.1)
+    yes_s = trial.record.now_s()
+    trial.record.add("platform: the new process says yes")
+    old.signal(signal.SIGTERM)
+    return yes_s
 
 
 async def case(trial: Trial) -> list[str]:
-    """Send SIGTERM in the middle of an answer."""
-    hosts = [Host(trial, f"s-{number}", answer) for number in range(3)]
+    """Let a host drain, take discovery down, and replace the process."""
+    runs: list[tuple[float, str]] = []
+
+    async def answer(host: Host, request: Message, writer: asyncio.StreamWriter) -> None:
+        id_ = request.headers["x-call-id"]
+        trial.record.add(f"{host.name}: got id={id_} status={host.status}")
+        if host.status == "DRAINING":  # it stays up and answers what comes
+            runs.append((trial.record.now_s(), id_))
+        await asyncio.sleep(0.03)
+        writer.write(build_response(id_.encode()))
+
+    hosts = [Host(trial, f"s-{number}", answer) for number in range(4)]
     for host in hosts:
         await host.start()
     discovery = Discovery(trial, hosts)
     await discovery.start()
-    gateway = Gateway(trial, trial.config(discovery, site_settings()))
-    gateway.start()
-    await gateway.wait_until_ready()
-    begun = asyncio.Event()
-    client = asyncio.create_task(take_answer(trial, gateway, begun))
-    await asyncio.wait_for(begun.wait(), TERM_AFTER_S)
-    await asyncio.sleep(TERM_AFTER_S)
-    loop = asyncio.get_running_loop()
-    term_s = loop.time()
+    old = Gateway(trial, trial.config(discovery, site_settings()), f"{LOOPBACK}:{free_port()}")
+    old.start()
+    await old.wait_until_ready()
+    client = asyncio.create_task(send_requests(trial, old))
+    begun_s = trial.record.now_s()
+
+    async def wait_until(at_s: float) -> None:
+        await asyncio.sleep(max(0.0, begun_s + at_s - trial.record.now_s()))
+
+    await wait_until(DRAIN_S)
+    discovery.change(hosts[0], "DRAINING")
+    await wait_until(DOWN_S)
+    told_s = discovery.told.get("s-0 DRAINING")
+    if told_s is None:
+        raise CannotRunError(old.log_text())
+    if has_trouble():
+        discovery.go_down(True)
+    await wait_until(UPGRADE_S)
+    yes_s = await replace_process(trial, old)
+    await asyncio.sleep(KILL_AFTER_S)
+    old.kill()
+    await wait_until(DOWN_S + DOWN_FOR_S)
     if has_trouble():
-        gateway.signal(signal.SIGTERM)
-    while loop.time() < term_s + KILL_AFTER_S and not gateway.has_ended:
-        await asyncio.sleep(0.01)
-    ended_s = loop.time() - term_s
-    trial.record.add(f"platform: gateway ended={gateway.has_ended} after_s={ended_s:.2f}")
-    if has_trouble() and not gateway.has_ended:
-        gateway.signal(signal.SIGKILL)
-        return []  # what SIGKILL finds of a request that came before SIGTERM is not the gateway's loss
-    received = await client
-    if received < ANSWER_BYTES:
-        return [f"the gateway ended {ended_s:.1f} s after SIGTERM with {ANSWER_BYTES - received} bytes not passed on"]
-    return []
+        discovery.go_down(False)
+    await wait_until(END_S)
+    client.cancel()
+    binds_s = max(told_s, yes_s + BINDS_AFTER_YES_S) + GRACE_S
+    late = [(at_s, id_) for at_s, id_ in runs if told_s + GRACE_S < at_s < begun_s + UPGRADE_S or at_s > binds_s]
+    trial.record.add(f"told_s={told_s:.2f} yes_s={yes_s:.2f} binds_s={binds_s:.2f} late={len(late)}")
+    if not late:
+        return []
+    return [
+        f"s-0 got {len(late)} requests later than its drain binds, the last {late[-1][0] - told_s:.1f} s after it was"
+        f" told and {late[-1][0] - yes_s:.1f} s after the new process said yes"
+    ]
 
 
 if __name__ == "__main__":
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,53 +1,85 @@
-"""A client that sends its requests at once: each gets its final answer within its time and half a second."""
+"""A planned restart while a client takes a large answer: the gateway does not cut off what the host still gives."""
 
 from __future__ import annotations
 
 import asyncio
-import time
+import signal
+import socket
 from pathlib import Path
 
 from parties import (
     LOOPBACK,
+    MIB,
     Discovery,
     Gateway,
     Host,
     Message,
     Trial,
-    build_response,
     has_trouble,
     main,
-    read_message,
+    read_head,
     site_settings,
 )
 
-REQUESTS = 16  # the page of limits: 16 on a connection
-BUDGET_MS = 750
-LATE_S = 0.5 + 0.05  # half a second after its time, and 50 ms on sockets
-WORK_S = 0.1  # of the site's 57 to 105 ms
-WARM_REQUESTS = 40
+ANSWER_BYTES = 20 * MIB
+PIECE_BYTES = 128 * 1024
+RECEIVE_BUFFER_BYTES = 64 * 1024
+PIECE_PAUSE_S = 0.0625  # 2 MiB a second
+TERM_AFTER_S = 2.0  # from the first byte of the answer
+KILL_AFTER_S = 10.0  # from SIGTERM; no sooner than 3.7 s with a longest deadline of 3 s
 
 
-def build_request(id_: str) -> bytes:
-    """Return a request of the class that is safe to repeat."""
-    return (
-        f"GET /search/k{id_} HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: {id_}\r\nX-Call-Class: search\r\n"
-        f"X-Call-Cost: 50000\r\nX-Budget-Ms: {BUDGET_MS}\r\n\r\n"
-    ).encode()
+async def answer(host: Host, request: Message, writer: asyncio.StreamWriter) -> None:
+    """Answer with a large body, as fast as it is taken."""
+    id_ = request.headers["x-call-id"]
+    host.trial.record.add(f"{host.name}: run id={id_}")
+    await asyncio.sleep(0.06)
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % ANSWER_BYTES)
+    sent = 0
+    try:
+        while sent < ANSWER_BYTES:
+            writer.write(b"a" * PIECE_BYTES)
+            sent += PIECE_BYTES
+            await writer.drain()
+    except OSError:
+        host.trial.record.add(f"{host.name}: connection ended id={id_} sent={sent} of {ANSWER_BYTES}")
+        raise
+    host.trial.record.add(f"{host.name}: answered id={id_}")
 
 
-async def case(trial: Trial) -> list[str]:
-    """Send the requests at once, or one after another."""
-    sent_s: dict[str, float] = {}  # when the client wrote the last byte, by id
-    broken: list[str] = []
+async def take_answer(trial: Trial, gateway: Gateway, begun: asyncio.Event) -> int:
+    """Ask for a large answer, take it evenly, and return how many bytes of its body came."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (LOOPBACK, gateway.port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=PIECE_BYTES)
+    writer.write(
+        b"GET /search/k1 HTTP/1.1\r\nHost: backend.local\r\nX-Call-Id: 5c2e\r\nX-Call-Class: search\r\n"
+        b"X-Budget-Ms: 750\r\n\r\n"
+    )
+    trial.record.add("client: sent id=5c2e")
+    head = await read_head(reader)
+    trial.record.add(f"client: head id=5c2e status={head.status} length={head.headers.get('content-length')}")
+    begun.set()
+    received = 0
+    try:
+        while received < ANSWER_BYTES:
+            data = await reader.read(PIECE_BYTES)
+            if not data:
+                break
+            received += len(data)
+            await asyncio.sleep(PIECE_PAUSE_S * len(data) / PIECE_BYTES)
+    except OSError as error:
+        trial.record.add(f"client: connection ended error={error!r}")
+    trial.record.add(f"client: received={received} of {ANSWER_BYTES}")
+    writer.close()
+    return received
 
-    async def answer(host: Host, request: Message, writer: asyncio.StreamWriter) -> None:
-        id_, told_ms = request.headers["x-call-id"], int(request.headers["x-budget-ms"])
-        left_s = sent_s[id_] + BUDGET_MS / 1000 - time.monotonic()
-        trial.record.add(f"{host.name}: run id={id_} told_ms={told_ms} left_ms={left_s * 1000:.0f}")
-        await asyncio.sleep(WORK_S)
-        writer.write(build_response(f"answer to {id_}".encode()))
 
-    hosts = [Host(trial, f"s-{number}", answer) for number in range(4)]
+async def case(trial: Trial) -> list[str]:
+    """Send SIGTERM in the middle of an answer."""
+    hosts = [Host(trial, f"s-{number}", answer) for number in range(3)]
     for host in hosts:
         await host.start()
     discovery = Discovery(trial, hosts)
@@ -55,32 +87,25 @@
     gateway = Gateway(trial, trial.config(discovery, site_settings()))
     gateway.start()
     await gateway.wait_until_ready()
-    reader, writer = await asyncio.open_connection(LOOPBACK, gateway.port)
-
-    async def read_answer(id_: str) -> None:
-        reply = await read_message(reader)
-        took_s = time.monotonic() - sent_s[id_]
-        trial.record.add(f"client: answer id={id_} status={reply.status} after_ms={took_s * 1000:.0f}")
-        if took_s > BUDGET_MS / 1000 + LATE_S:
-            broken.append(
-                f"id={id_}: answered {reply.status} after {took_s * 1000:.0f} ms, its time is {BUDGET_MS} ms"
-            )
-
-    def send(ids: list[str]) -> None:
-        for id_ in ids:
-            sent_s[id_] = time.monotonic()
-        writer.write(b"".join(build_request(id_) for id_ in ids))
-        trial.record.add(f"client: sent ids={','.join(ids)}")
-
-    ids = [f"b{number:03d}" for number in range(REQUESTS)]
-    batches = [[f"a{number:03d}"] for number in range(WARM_REQUESTS)]
-    batches += [ids] if has_trouble() else [[id_] for id_ in ids]
-    for batch in batches:
-        send(batch)
-        for id_ in batch:
-            await read_answer(id_)
-    writer.close()
-    return broken
+    begun = asyncio.Event()
+    client = asyncio.create_task(take_answer(trial, gateway, begun))
+    await asyncio.wait_for(begun.wait(), TERM_AFTER_S)
+    await asyncio.sleep(TERM_AFTER_S)
+    loop = asyncio.get_running_loop()
+    term_s = loop.time()
+    if has_trouble():
+        gateway.signal(signal.SIGTERM)
+    while loop.time() < term_s + KILL_AFTER_S and not gateway.has_ended:
+        await asyncio.sleep(0.01)
+    ended_s = loop.time() - term_s
+    trial.record.add(f"platform: gateway ended={gateway.has_ended} after_s={ended_s:.2f}")
+    if has_trouble() and not gateway.has_ended:
+        gateway.signal(signal.SIGKILL)
+        return []  # what SIGKILL finds of a request that came before SIGTERM is not the gateway's loss
+    received = await client
+    if received < ANSWER_BYTES:
+        return [f"the gateway ended {ended_s:.1f} s after SIGTERM with {ANSWER_BYTES - received} bytes not passed on"]
+    return []
 
 
 if __name__ == "__main__":
