A stream that begins behind responses that its client has not read begins paused

Cause: asyncio reports only the passage from "reads" to "is behind". A stream that began while its client was behind waited for a report that never came: it was read as fast as the host sent, and the bytes were in no charge. Ruled out: requests read ahead (30 MB until the large response began). Change: ClientOutput owns the write side of a client's connection: a stream that begins while it is paused begins paused, each write while it is paused is charged, and a stream that is cut off gives its reservation back.

--- a/benchmarks/guards/mutants/frontends.py
+++ b/benchmarks/guards/mutants/frontends.py
@@ -207,6 +207,14 @@
     patch_attribute(MemoryAccount, "stream_bytes", lambda self: 1 << 20)
 
 
+@mutant("stream-held-back")
+def _() -> None:
+    """A stream that begins while its client is behind is read until the client is behind once more."""
+    from cloverkeel.frontends.http1.client_output import ClientOutput
+
+    patch_source(ClientOutput, "begin_stream", ("if self.is_paused:", "if False:"))
+
+
 @mutant("abandoned-scan")
 def _() -> None:
     """Clients that leave are noticed only where input is left unparsed."""
--- a/benchmarks/guards/table/frontends.py
+++ b/benchmarks/guards/table/frontends.py
@@ -54,6 +54,8 @@
         tests="resource_limits/memory::many_pipelined_requests_with_bodies_stay_within_memory"),
     row("stream-buffer", "buffers of streamed responses have a bounded sum", "MemoryAccount.stream_bytes",
         tests="resource_limits/memory::many_slow_readers_of_long_responses_stay_within_memory"),
+    row("stream-held-back", "a stream behind unread responses begins paused", "ClientOutput.begin_stream",
+        tests="frontends/client_output::stream_that_begins_while_its_client_is_behind_is_held_back"),
     row("header-fields", "a head has at most 128 fields", "RequestReader.on_header",
         tests="frontends/limits::invalid_request_is_rejected_and_does_not_reach_a_host"),
     row("linger-yield+linger-read", "connections after an error response yield to new ones", "Admission",
--- a/cloverkeel/compiled/build.py
+++ b/cloverkeel/compiled/build.py
@@ -76,6 +76,7 @@
     "cloverkeel.core.timers",
     "cloverkeel.frontends.http1.admission",
     "cloverkeel.frontends.http1.call_reader",
+    "cloverkeel.frontends.http1.client_output",
     "cloverkeel.frontends.http1.client_transport",
     "cloverkeel.frontends.http1.connection",
     "cloverkeel.frontends.http1.context",
--- a/cloverkeel/frontends/http1/admission.py
+++ b/cloverkeel/frontends/http1/admission.py
@@ -108,7 +108,7 @@
     def _abort_answered_client(self) -> bool:
         """Abort a connection that only waits for its client to read an error response which has arrived."""
         for connection in self.timeouts.closing:
-            if connection.is_lingering and connection.is_all_delivered():
+            if connection.is_lingering and connection.output.is_all_delivered():
                 connection.abort()
                 return True
         return False
--- a/cloverkeel/frontends/http1/client_transport.py
+++ b/cloverkeel/frontends/http1/client_transport.py
@@ -11,7 +11,7 @@
 from cloverkeel.core.clock import now_us
 from cloverkeel.core.input_scheduler import InputSource
 from cloverkeel.core.memory_account import ChargeOwner, MemoryCharge
-from cloverkeel.frontends.http1.delivery_progress import DeliveryProgress
+from cloverkeel.frontends.http1.client_output import ClientOutput
 from cloverkeel.frontends.http1.timeouts import LINGER_TIMEOUT_S, WRITE_TIMEOUT_S, Phase
 
 if TYPE_CHECKING:
@@ -40,8 +40,7 @@
         self.is_lingering = False  # the response is written, and the client has time to read it before the close
         self.discarded_bytes = 0  # received after the last response
         self.is_delimited_by_close = False  # the end of the connection ends the present response
-        self.is_write_paused = False  # the client does not read its responses
-        self.progress = DeliveryProgress()
+        self.output = ClientOutput()
         self.charge = MemoryCharge(context.account, ChargeOwner.CLIENTS)
         self.poll = select.poll()
 
@@ -65,11 +64,14 @@
         """Respond to a request that did not arrive completely in time."""
         raise NotImplementedError
 
+    def update_charge(self) -> None:
+        """Charge what this connection holds now to the memory account."""
+        raise NotImplementedError
+
     def set_transport(self, transport: asyncio.BaseTransport) -> None:
         """Set the transport of an accepted connection."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transport is not a subclass
-        # With a limit of 0, asyncio calls pause_writing as soon as a byte waits in its buffer.
-        self.transport.set_write_buffer_limits(high=0)
+        self.output.attach(self.transport)
         self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         self.accepted_s = self.context.loop.time()
         self.enter_phase(self.context.timeouts.accepted, self.accepted_s)
@@ -150,24 +152,11 @@
         if phase is not None:
             phase[self] = self.context.loop.time() if since_s is None else since_s
 
-    def has_client_read_more(self) -> bool:
-        """Return whether the client has received more of its responses since the last call."""
-        return self.transport is not None and self.progress.has_advanced(self.transport)
-
-    def is_all_delivered(self) -> bool:
-        """Return whether the client's machine has received all that was written."""
-        return self.transport is not None and self.progress.count_pending(self.transport) == 0
-
     def write(self, data: bytes) -> None:
         """Write all or part of a response."""
-        if self.transport is not None:
-            self.progress.written_bytes += len(data)
-            self.transport.write(data)
-
-    def unsent_bytes(self) -> int:
-        """Return the bytes written that the kernel has not taken."""
-        transport = self.transport
-        return transport.get_write_buffer_size() if self.is_write_paused and transport is not None else 0
+        self.output.write(data)
+        if self.output.is_paused:
+            self.update_charge()  # asyncio reports only the first byte that waits
 
     def close(self) -> None:
         """Close once the client has received the bytes written, within the limits of the closing phase."""
--- a/cloverkeel/frontends/http1/connection.py
+++ b/cloverkeel/frontends/http1/connection.py
@@ -51,6 +51,7 @@
         self.ignores_input = True
         self.reader.close()
         self.transport = None
+        self.output.detach()
         self.charge.update(0)
         call, self.call = self.call, None
         self.request = self.stream = None
@@ -80,7 +81,7 @@
         timeouts = self.context.timeouts
         if self.ignores_input:
             return
-        if self.is_write_paused:
+        if self.output.is_paused:
             if self.stream is not None:
                 self.enter_phase(timeouts.streaming)
             else:
@@ -94,17 +95,13 @@
 
     def pause_writing(self) -> None:
         """Handle asyncio's event: the client reads more slowly than responses are written."""
-        self.is_write_paused = True
-        if self.stream is not None:
-            self.stream.flow.pause_reading()
+        self.output.pause()
         self.update_phase()
         self.update_charge()
 
     def resume_writing(self) -> None:
         """Handle asyncio's event: the client has read the bytes written."""
-        self.is_write_paused = False
-        if self.stream is not None:
-            self.stream.flow.resume_reading()
+        self.output.resume()
         self.update_phase()
         self.update_charge()
         self.schedule_next_request()
@@ -144,13 +141,11 @@
 
     def update_charge(self) -> None:
         """Charge what this connection holds now to the memory account."""
-        held_bytes = CLIENT_CONNECTION_BYTES + self.reader.held_bytes
+        if self.transport is None:
+            return  # `connection_lost` has released the charge
+        held_bytes = CLIENT_CONNECTION_BYTES + self.reader.held_bytes + self.output.held_bytes
         if self.request is not None:
             held_bytes += self.request.held_bytes
-        if self.stream is not None:
-            held_bytes += max(self.stream.buffer_bytes, self.unsent_bytes())
-        else:
-            held_bytes += self.unsent_bytes()
         self.charge.update(held_bytes)
 
     def limit_memory(self) -> None:
@@ -175,16 +170,12 @@
         self.reader.fail(RequestError(408, "the request did not come in time"))
         self.process_next_request()
 
-    def is_client_behind(self) -> bool:
-        """Return whether so much waits for the client to read that no further response may be added."""
-        if not self.is_write_paused or self.transport is None:
-            return False
-        return self.transport.get_write_buffer_size() > self.context.account.stream_bytes()
-
     def process_next_request(self) -> None:
         """Process the next parsed request if the previous one is answered."""
-        if self.request is not None or self.transport is None or self.ignores_input or self.is_client_behind():
+        if self.request is not None or self.transport is None or self.ignores_input:
             return
+        if self.output.is_beyond(self.context.account.stream_bytes()):
+            return  # so much waits for the client that no further response may be added
         if not self.reader.completed and self.is_reading_paused:
             self.read(b"")
             if not self.reader.is_broken and not self.reader.unparsed:
@@ -220,10 +211,10 @@
 
     def on_stream_start(self, call: Call, reply: Reply, size: int | None, flow: FlowControl) -> ResponseStream | None:
         """Write the head of a streamed response; return None if the client no longer awaits it."""
-        request, transport = self.request, self.transport
-        if self.call is not call or request is None or transport is None:
+        request = self.request
+        if self.call is not call or request is None or self.transport is None:
             return None
-        stream = StreamedResponse(self, request, size, flow, self.context.account.stream_bytes())
+        stream = StreamedResponse(self, request, size, self.context.account.stream_bytes())
         self.is_delimited_by_close = stream.is_delimited_by_close
         if self.is_delimited_by_close:
             request.keep_alive = False
@@ -231,9 +222,9 @@
         if is_last:
             request.keep_alive = False
         self.stream = stream
-        self.update_charge()
         flow.limit_read_size(stream.part_bytes)
-        transport.set_write_buffer_limits(high=stream.part_bytes)
+        self.output.begin_stream(flow, stream.part_bytes, stream.buffer_bytes)
+        self.update_charge()
         stream.write_head(reply, size, is_last)
         return stream
 
@@ -245,7 +236,7 @@
         self.call = self.stream = None
         self.has_responded = True
         if request is not None and self.transport is not None:
-            self.transport.set_write_buffer_limits(high=0)
+            self.output.end_stream()
             self.update_charge()
             self.finish_response(request, not request.keep_alive)
 
@@ -254,6 +245,7 @@
         self.call = None
         if self.stream is stream:
             self.stream = None
+            self.output.end_stream()
         if self.is_delimited_by_close:
             self.abort()
         else:
--- a/cloverkeel/frontends/http1/streamed_response.py
+++ b/cloverkeel/frontends/http1/streamed_response.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, Final
 
-from cloverkeel.core.calls import FlowControl
 from cloverkeel.core.messages import STATUS_OK, Reply, end_to_end_headers
 from cloverkeel.frontends.http1.requests import Request
 from cloverkeel.frontends.http1.responses import HEADERS_NOT_RETURNED, LAST_CHUNK, build_head, frame_chunk
@@ -21,14 +20,11 @@
     `size`: length of the body in bytes; None if unknown. `buffer_bytes`: what the connection may hold of it.
     """
 
-    __slots__ = ("buffer_bytes", "connection", "flow", "is_chunked", "is_delimited_by_close", "request")
+    __slots__ = ("buffer_bytes", "connection", "is_chunked", "is_delimited_by_close", "request")
 
-    def __init__(
-        self, connection: ClientConnection, request: Request, size: int | None, flow: FlowControl, buffer_bytes: int
-    ) -> None:
+    def __init__(self, connection: ClientConnection, request: Request, size: int | None, buffer_bytes: int) -> None:
         self.connection = connection
         self.request = request
-        self.flow = flow
         self.buffer_bytes = buffer_bytes
         self.is_chunked = size is None and not request.is_http10
         self.is_delimited_by_close = size is None and request.is_http10
--- a/cloverkeel/frontends/http1/timeouts.py
+++ b/cloverkeel/frontends/http1/timeouts.py
@@ -73,7 +73,7 @@
             if now_s < end_s:
                 continue
             timeout_s = LINGER_TIMEOUT_S if connection.is_lingering else WRITE_TIMEOUT_S
-            if connection.has_client_read_more():
+            if connection.output.has_client_read_more():
                 self.closing[connection] = now_s + timeout_s
                 continue
             if not connection.is_lingering:
@@ -89,7 +89,7 @@
     def _abort_stalled_streams(self, now_s: float) -> None:
         """Abort streamed responses of which the client reads nothing."""
         for connection, since_s in list(self.streaming.items()):
-            if connection.has_client_read_more():
+            if connection.output.has_client_read_more():
                 self.streaming[connection] = now_s
             elif now_s - since_s >= STREAM_STALL_TIMEOUT_S:
                 self.metrics.record_unserved("unread")
