--- a/benchmarks/guards/mutants/frontends.py
+++ b/benchmarks/guards/mutants/frontends.py
@@ -207,6 +207,30 @@
     patch_attribute(MemoryAccount, "stream_bytes", lambda self: 1 << 20)
 
 
+@mutant("unread-tail")
+def _() -> None:
+    """The end of a response may wait for as long as an error response lingers."""
+    from cloverkeel.frontends.http1 import timeouts
+
+    patch_attribute(timeouts, "UNREAD_TIMEOUT_S", timeouts.LINGER_TIMEOUT_S)
+
+
+@mutant("unread-closing")
+def _() -> None:
+    """A connection that the gateway closes while nothing is read of it counts as one whose client has left."""
+    from cloverkeel.frontends.http1.client_transport import ClientTransport
+
+    patch_source(ClientTransport, "has_left_unread", (" and not self.ignores_input", ""))
+
+
+@mutant("unread-end")
+def _() -> None:
+    """A client that reads nothing keeps its connection for an hour."""
+    from cloverkeel.frontends.http1 import timeouts
+
+    patch_attribute(timeouts, "UNREAD_TIMEOUT_S", 3600.0)
+
+
 @mutant("stream-held-back")
 def _() -> None:
     """A stream that begins while its client is behind is read until the client is behind once more."""
@@ -220,7 +244,7 @@
     """Clients that leave are noticed only where input is left unparsed."""
     from cloverkeel.frontends.http1.timeouts import ConnectionTimeouts
 
-    patch_source(ConnectionTimeouts, "_abort_abandoned", ("c.is_reading_paused and", "c.reader.unparsed and"))
+    patch_source(ConnectionTimeouts, "_abort_abandoned", ("if c.", "if c.reader.unparsed and c."))
 
 
 @mutant("unread-input")
--- a/cloverkeel/frontends/http1/admission.py
+++ b/cloverkeel/frontends/http1/admission.py
@@ -99,7 +99,7 @@
     def _abort_abandoned_client(self) -> bool:
         """Abort a connection whose client has left while nothing is read of it: the loop does not see the end."""
         for connection in self.connections:
-            if connection.is_reading_paused and connection.has_disconnected():
+            if connection.has_left_unread():
                 self.metrics.record_unserved("left")
                 connection.abort()
                 return True
@@ -107,8 +107,8 @@
 
     def _abort_answered_client(self) -> bool:
         """Abort a connection that only waits for its client to read an error response which has arrived."""
-        for connection in self.timeouts.closing:
-            if connection.is_lingering and connection.output.is_all_delivered():
+        for connection in self.timeouts.lingering:
+            if connection.output.is_all_delivered():
                 connection.abort()
                 return True
         return False
--- a/cloverkeel/frontends/http1/client_transport.py
+++ b/cloverkeel/frontends/http1/client_transport.py
@@ -12,7 +12,7 @@
 from cloverkeel.core.input_scheduler import InputSource
 from cloverkeel.core.memory_account import ChargeOwner, MemoryCharge
 from cloverkeel.frontends.http1.client_output import ClientOutput
-from cloverkeel.frontends.http1.timeouts import LINGER_TIMEOUT_S, WRITE_TIMEOUT_S, Phase
+from cloverkeel.frontends.http1.timeouts import Phase
 
 if TYPE_CHECKING:
     from cloverkeel.frontends.http1.context import ConnectionContext
@@ -37,7 +37,6 @@
         self.has_responded = False
         self.ignores_input = False  # received bytes are no longer parsed as requests
         self.is_reading_paused = False  # the loop reads neither bytes nor the end of the connection
-        self.is_lingering = False  # the response is written, and the client has time to read it before the close
         self.discarded_bytes = 0  # received after the last response
         self.is_delimited_by_close = False  # the end of the connection ends the present response
         self.output = ClientOutput()
@@ -87,6 +86,13 @@
             return True
         return any(event & DISCONNECTED_EVENTS for _, event in self.poll.poll(0))
 
+    def has_left_unread(self) -> bool:
+        """Return whether the client has left while nothing is read of it, so that the loop does not see the end.
+
+        A connection that the gateway closes itself is left out: its last response may still be on its way.
+        """
+        return self.is_reading_paused and not self.ignores_input and self.has_disconnected()
+
     def confirm_presence(self) -> None:
         """Record that the client is there: it has just sent its request, or been sent the response before it."""
         self.confirmed_s = self.context.loop.time()
@@ -159,10 +165,10 @@
             self.update_charge()  # asyncio reports only the first byte that waits
 
     def close(self) -> None:
-        """Close once the client has received the bytes written, within the limits of the closing phase."""
+        """Close once the kernel has taken the bytes written, unless the client reads none of them for too long."""
         self.ignores_input = True
         if self.transport is not None:
-            self.enter_phase(self.context.timeouts.closing, self.context.loop.time() + WRITE_TIMEOUT_S)
+            self.enter_phase(self.context.timeouts.delivering)
             self.transport.close()
 
     def abort(self) -> None:
@@ -200,9 +206,8 @@
             self.close()
             return
         self.ignores_input = True
-        self.is_lingering = True
         assert self.transport is not None
         if self.transport.can_write_eof():
             self.transport.write_eof()
         self.resume_reading()
-        self.enter_phase(self.context.timeouts.closing, self.context.loop.time() + LINGER_TIMEOUT_S)
+        self.enter_phase(self.context.timeouts.lingering)
--- a/cloverkeel/frontends/http1/connection.py
+++ b/cloverkeel/frontends/http1/connection.py
@@ -21,7 +21,7 @@
 from cloverkeel.frontends.http1.requests import Request, RequestReader
 from cloverkeel.frontends.http1.responses import CONTINUE, HEADERS_NOT_RETURNED, build_head
 from cloverkeel.frontends.http1.streamed_response import StreamedResponse
-from cloverkeel.frontends.http1.timeouts import MIN_BODY_BYTES_PER_S, READ_IDLE_TIMEOUT_S, WRITE_TIMEOUT_S
+from cloverkeel.frontends.http1.timeouts import MIN_BODY_BYTES_PER_S, READ_IDLE_TIMEOUT_S
 
 MAX_PIPELINED_REQUESTS: Final = 16  # parsed ahead on one connection
 
@@ -82,10 +82,7 @@
         if self.ignores_input:
             return
         if self.output.is_paused:
-            if self.stream is not None:
-                self.enter_phase(timeouts.streaming)
-            else:
-                self.enter_phase(timeouts.closing, self.context.loop.time() + WRITE_TIMEOUT_S)
+            self.enter_phase(timeouts.delivering)
         elif self.request is not None or self.reader.completed:
             self.enter_phase(None)
         elif self.reader.has_begun:
--- a/cloverkeel/frontends/http1/timeouts.py
+++ b/cloverkeel/frontends/http1/timeouts.py
@@ -20,11 +20,10 @@
 MIN_BODY_BYTES_PER_S: Final = 32 * 1024  # a body that is slower, counted from REQUEST_TIMEOUT_S on, gets 408
 KEEP_ALIVE_TIMEOUT_S = 20.0  # between two requests
 CROWDED_KEEP_ALIVE_TIMEOUT_S = 2.0  # between two requests while many clients are connected
-LINGER_TIMEOUT_S: Final = 0.5  # for the client to read any more before the close that follows an error response
-WRITE_TIMEOUT_S: Final = 2.4  # for the client to read a response
-STREAM_STALL_TIMEOUT_S: Final = 10.0  # for the client to read any more of a streamed response
+LINGER_TIMEOUT_S = 0.5  # between the delivery of an error response and the close
+UNREAD_TIMEOUT_S: Final = 10.0  # for the client to read any more of its responses, also of the end of the last one
 
-Phase = dict["ClientTransport", float]  # time at which each connection entered it; in `closing`, its deadline
+Phase = dict["ClientTransport", float]  # time at which each connection entered it, or its client last read more
 
 
 class ConnectionTimeouts:
@@ -35,8 +34,8 @@
         self.accepted: Phase = {}  # no byte has arrived
         self.reading: Phase = {}  # part of a request has arrived
         self.keep_alive: Phase = {}  # between requests
-        self.closing: Phase = {}  # the client has to read the bytes written
-        self.streaming: Phase = {}  # a streamed response waits until the client reads more of it
+        self.delivering: Phase = {}  # responses wait until the client reads more; some connections close then
+        self.lingering: Phase = {}  # an error response has some time to arrive before the close
 
     def end_expired(self, connections: set[ClientConnection], now_s: float, is_crowded: bool) -> None:
         """End connections that exceed the timeout of their phase, or whose client has disconnected."""
@@ -45,8 +44,8 @@
         self._close_idle(self.keep_alive, keep_alive_s, "kept", now_s)
         self._time_out_requests(now_s)
         self._abort_unread(now_s)
+        self._end_lingering(now_s)
         self._abort_abandoned(connections)
-        self._abort_stalled_streams(now_s)
 
     def _close_idle(self, phase: Phase, timeout_s: float, reason: str, now_s: float) -> None:
         """Close idle connections after `timeout_s` in the phase."""
@@ -65,32 +64,28 @@
                 connection.time_out_request()
 
     def _abort_unread(self, now_s: float) -> None:
-        """Abort connections whose client does not read the bytes written.
+        """Abort connections whose client reads nothing of the responses that wait for it."""
+        for connection, since_s in list(self.delivering.items()):
+            if connection.output.has_client_read_more():
+                self.delivering[connection] = now_s
+            elif now_s - since_s >= UNREAD_TIMEOUT_S:
+                self.metrics.record_unserved("unread")
+                connection.abort()
 
-        This includes the time after an error response: earlier streamed responses may still be unsent.
-        """
-        for connection, end_s in list(self.closing.items()):
-            if now_s < end_s:
-                continue
-            timeout_s = LINGER_TIMEOUT_S if connection.is_lingering else WRITE_TIMEOUT_S
+    def _end_lingering(self, now_s: float) -> None:
+        """End connections after their error response; what waits before it has the time of any other response."""
+        for connection, since_s in list(self.lingering.items()):
             if connection.output.has_client_read_more():
-                self.closing[connection] = now_s + timeout_s
+                self.lingering[connection] = now_s
                 continue
-            if not connection.is_lingering:
-                self.metrics.record_unserved("unread")
-            connection.abort()
+            is_delivered = connection.output.is_all_delivered()
+            if now_s - since_s >= (LINGER_TIMEOUT_S if is_delivered else UNREAD_TIMEOUT_S):
+                if not is_delivered:
+                    self.metrics.record_unserved("unread")
+                connection.abort()
 
     def _abort_abandoned(self, connections: set[ClientConnection]) -> None:
         """Abort connections whose client has left while nothing is read of them: the loop does not see the end."""
-        for connection in [c for c in connections if c.is_reading_paused and c.has_disconnected()]:
+        for connection in [c for c in connections if c.has_left_unread()]:
             self.metrics.record_event("client left")
             connection.abort()
-
-    def _abort_stalled_streams(self, now_s: float) -> None:
-        """Abort streamed responses of which the client reads nothing."""
-        for connection, since_s in list(self.streaming.items()):
-            if connection.output.has_client_read_more():
-                self.streaming[connection] = now_s
-            elif now_s - since_s >= STREAM_STALL_TIMEOUT_S:
-                self.metrics.record_unserved("unread")
-                connection.abort()
--- a/tests/frontends/test_large_bodies.py
+++ b/tests/frontends/test_large_bodies.py
@@ -197,7 +197,7 @@
         client = await connect_with_small_buffers(run)
         (connection,) = run.server.connections
         client.send(request("transfer") + b"malformed\r\n\r\n")
-        await wait_until(lambda: connection.is_lingering)
+        await wait_until(lambda: connection in run.server.timeouts.lingering)
         assert run.server.expiry_timer is not None
         run.server.expiry_timer.cancel()  # the test checks the deadlines itself, whenever the client has read more
         now_s = asyncio.get_running_loop().time()
--- a/tests/frontends/test_limits.py
+++ b/tests/frontends/test_limits.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cloverkeel.frontends.http1 import client_transport, timeouts
+from cloverkeel.frontends.http1 import timeouts
 from tests.sockets import (
     configuration,
     never_respond,
@@ -50,7 +50,7 @@
         host.exchanges[0].respond(reply(200, b"late"))
         assert (await busy.read_response()).body == b"late"
         limits = run.server.timeouts
-        for phase in (limits.accepted, limits.reading, limits.keep_alive, limits.closing):
+        for phase in (limits.accepted, limits.reading, limits.keep_alive, limits.delivering, limits.lingering):
             await wait_until(lambda phase=phase: not phase)  # type: ignore[misc]
         for client in (busy, silent_client, idle_client):
             client.close()
@@ -68,8 +68,7 @@
 )
 @on_loop
 async def test_request_that_does_not_arrive_in_time_gets_408(begun: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    shorten_timeouts(monkeypatch, timeouts, "REQUEST_TIMEOUT_S")
-    shorten_timeouts(monkeypatch, client_transport, "LINGER_TIMEOUT_S")
+    shorten_timeouts(monkeypatch, timeouts, "REQUEST_TIMEOUT_S", "LINGER_TIMEOUT_S")
     async with scripted_server() as host, running_gateway(configuration(host)) as run:
         client = await run.connect()
         answer = await client.send_request(begun)
