The end of a drain cuts off no response that has begun; what still arrives gets an answer

Cause: one limit for requests without a response and for responses that move. Evidence: `deadline exceeded, unanswered=1` 3.41 s after the signal with the request in the table; its own time limits would show as a failed attempt before. Change: by 3.2 s each request has a final response and what still arrives gets 408; each connection is read once more at most. Then the process waits until no client waits for bytes: 10 s without a read and 5 s without a byte of the host end a response as ever, 524 s (32 MB at 64 kB a second) bound the whole. Leases, gossip and their address end at 3.4 s as before. New connections are accepted until the last responses at most, which matters if client timeouts are below 1.5 s.

--- a/benchmarks/guards/mutants/core.py
+++ b/benchmarks/guards/mutants/core.py
@@ -80,10 +80,10 @@
 
 @mutant("way-out-bound")
 def _() -> None:
-    """The time limit of a shutdown is one hour."""
+    """The time limit of the deliveries after a drain is one hour."""
     from cloverkeel.core import draining
 
-    patch_attribute(draining, "MAX_SHUTDOWN_S", 3600.0)
+    patch_attribute(draining, "MAX_DELIVERY_S", 3600.0)
 
 
 @mutant("idle-first")
@@ -104,6 +104,22 @@
     change_shutdown_schedule(abort_stalled_from_s=3600.0)
 
 
+@mutant("delivery-after-drain")
+def _() -> None:
+    """The process ends with the drain, whatever is still being read."""
+    from cloverkeel.core import draining
+
+    patch_attribute(draining, "MAX_DELIVERY_S", 0.0)
+
+
+@mutant("last-read")
+def _() -> None:
+    """Connections are read for as long as the process lives."""
+    from cloverkeel.frontends.http1.drain import DrainState
+
+    patch_attribute(DrainState, "is_over", lambda self: False)
+
+
 @mutant("wait-of-input")
 def _() -> None:
     """A postponed connection waits for as long as all input since the metrics line took."""
--- a/cloverkeel/assembly.py
+++ b/cloverkeel/assembly.py
@@ -72,12 +72,16 @@
         for driver in self.peer_drivers:
             driver.leave()
 
-    def close(self) -> None:
-        """Close the parts that the server does not close itself."""
+    def close_peers(self) -> None:
+        """Stop the protocols between gateways and free their address, for the process that replaces this one."""
         for driver in self.peer_drivers:
             driver.close()
         if self.datagrams is not None:
             self.datagrams.close()
+
+    def close(self) -> None:
+        """Close the parts that the server does not close itself."""
+        self.close_peers()
         self.gateway.close()
 
 
--- a/cloverkeel/cli/serving.py
+++ b/cloverkeel/cli/serving.py
@@ -127,15 +127,25 @@
 
 
 async def _shut_down(program: Program, admin: AdminEndpoint | None) -> None:
-    """Drain, then close the admin address and the gateway."""
+    """Drain, deliver the responses that have begun, then close the admin address and the gateway."""
     program.begin_shutdown()
     schedule = admin.begin_shutdown() if admin is not None else None
-    try:
-        async with asyncio.timeout(draining.MAX_SHUTDOWN_S):
-            await program.server.shut_down(schedule)
-    except TimeoutError:
-        log(f"shutdown: deadline exceeded, unanswered={len(program.gateway.requests.by_key)}")
+    drained = asyncio.ensure_future(program.server.shut_down(schedule))
+    if not await _is_done_within(drained, draining.MAX_DRAIN_S):
+        log(f"shutdown: delivering responses, connections={program.server.client_count}")
+        program.close_peers()
+        if not await _is_done_within(drained, draining.MAX_DELIVERY_S):
+            drained.cancel()
+            log(f"shutdown: deadline exceeded, unanswered={len(program.gateway.requests.by_key)}")
     log(f"shutdown: complete, connections={program.pool.counts}")
     if admin is not None:
         admin.close()
     program.gateway.close()
+
+
+async def _is_done_within(future: asyncio.Future[None], timeout_s: float) -> bool:
+    """Wait until a future is done, for `timeout_s` at most; return whether it is. Raises what the future raises."""
+    await asyncio.wait((future,), timeout=timeout_s)
+    if future.done():
+        future.result()
+    return future.done()
--- a/cloverkeel/core/draining.py
+++ b/cloverkeel/core/draining.py
@@ -6,7 +6,9 @@
 Invariants:
 - before `abort_incomplete_from_s` no connection is closed that awaits a response or is still receiving a request;
 - no request that arrives after `reject_from_s` is processed, and by `respond_by_s`, which precedes any SIGKILL, each
-  request in flight has received its response.
+  request in flight has received its response, or the begin of a streamed one;
+- a response that has begun is not cut off by the end of a drain: the process waits until its client has read it or is
+  given up by the limits of every response.
 """
 
 from __future__ import annotations
@@ -14,12 +16,18 @@
 from dataclasses import dataclass
 from typing import Final
 
+from cloverkeel.core.messages import MAX_BODY_BYTES
+
 NEVER_S: Final = 1e9
 KILL_GRACE_S: Final = 0.7  # SIGKILL follows SIGTERM after at least the longest client timeout (up to 3 s) plus this
 KILL_SAFETY_S: Final = 0.2  # margin between the latest exit of the process and SIGKILL
 RESPONSE_DELIVERY_S: Final = 0.2  # time for the last responses to reach their clients
 READ_STALL_TIMEOUT_S: Final = 0.4  # maximum gap between two chunks of a request; even a slow client sends sooner
-MAX_SHUTDOWN_S = 3.4  # limit after SIGTERM: the longest client timeout plus the time in which clients still connect
+MAX_DRAIN_S: Final = 3.4  # after SIGTERM: the longest client timeout plus the time in which clients still connect
+SLOWEST_CLIENT_BYTES_PER_S: Final = 64_000
+MAX_DELIVERY_S = (
+    MAX_BODY_BYTES / SLOWEST_CLIENT_BYTES_PER_S
+)  # of a response that has begun before the end of the drain
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,6 +44,10 @@
     abort_incomplete_from_s: float  # when to start aborting all incomplete requests
     respond_by_s: float  # when requests in flight are answered, even if clients would wait longer
 
+    def is_over(self, now_s: float) -> bool:
+        """Return whether no further request is served; responses that have begun may still be on their way."""
+        return now_s >= self.respond_by_s
+
     def can_abort_read(self, now_s: float, read_gap_s: float) -> bool:
         """Return whether a partly received request may be aborted; `read_gap_s` is the time since its last data."""
         if now_s >= self.abort_incomplete_from_s:
@@ -61,23 +73,24 @@
     gateway may be down at the same time, and a client that is rejected may then find no gateway. A stalled request
     does not delay the exit: the sooner the process exits, the sooner its replacement serves.
     """
+    respond_by_s = response_deadline_s(max_client_timeout_s)
     return DrainSchedule(
         is_reported_ready=False,
-        accept_until_s=1.5,
+        accept_until_s=min(1.5, respond_by_s),
         keep_alive_until_s=1.2,
         close_idle_from_s=1.2,
         first_request_timeout_s=0.5,
         reject_from_s=NEVER_S,
         abort_stalled_from_s=1.0,
-        abort_incomplete_from_s=NEVER_S,
-        respond_by_s=response_deadline_s(max_client_timeout_s),
+        abort_incomplete_from_s=respond_by_s,
+        respond_by_s=respond_by_s,
     )
 
 
 def response_deadline_s(max_client_timeout_s: float) -> float:
     """Return the time since SIGTERM by which the last responses must be written."""
     before_kill_s = max_client_timeout_s + KILL_GRACE_S - KILL_SAFETY_S
-    return min(MAX_SHUTDOWN_S, before_kill_s) - RESPONSE_DELIVERY_S
+    return min(MAX_DRAIN_S, before_kill_s) - RESPONSE_DELIVERY_S
 
 
 def pause_schedule() -> DrainSchedule:
--- a/cloverkeel/frontends/http1/connection.py
+++ b/cloverkeel/frontends/http1/connection.py
@@ -123,6 +123,8 @@
         self.update_charge()
         if self.context.account.is_exhausted:
             self.limit_memory()
+        if self.context.drain.is_over():
+            self.pause_reading()  # what has been read is answered; guards against a client that never stops sending
         self.process_next_request()
         self.update_phase()
 
@@ -175,7 +177,7 @@
             return  # so much waits for the client that no further response may be added
         if not self.reader.completed and self.is_reading_paused:
             self.read(b"")
-            if not self.reader.is_broken and not self.reader.unparsed:
+            if not self.reader.is_broken and not self.reader.unparsed and not self.context.drain.is_over():
                 self.resume_reading()
         if not self.reader.completed:
             return
@@ -250,8 +252,12 @@
 
     def is_last(self, request: Request) -> bool:
         """Return whether the connection ends with this response; a drain answers pipelined requests first."""
-        has_more = bool(self.reader.completed) or self.reader.has_begun
-        return not request.keep_alive or (self.context.drain.closes_connections() and not has_more)
+        drain, reader = self.context.drain, self.reader
+        if not request.keep_alive:
+            return True
+        if drain.is_over():
+            return not reader.completed and not reader.unparsed
+        return drain.closes_connections() and not reader.completed and not reader.has_begun
 
     def respond(self, status: int, headers: list[Header], body: bytes) -> None:
         """Write a complete response, and go on with the next request."""
--- a/cloverkeel/frontends/http1/drain.py
+++ b/cloverkeel/frontends/http1/drain.py
@@ -44,6 +44,10 @@
             raise RequestError(503, "this gateway is being emptied; ask again on a new connection")
         call.client_timeout_us = min(call.client_timeout_us, max(1, int(left_s * 1e6)))
 
+    def is_over(self) -> bool:
+        """Return whether no further request is served, as the process is about to exit."""
+        return self.schedule is not None and self.schedule.is_over(self.elapsed_s())
+
     def closes_connections(self) -> bool:
         """Return whether connections are closed after a response."""
         return self.schedule is not None and self.elapsed_s() >= self.schedule.keep_alive_until_s
@@ -92,7 +96,7 @@
         elapsed_s = self.state.elapsed_s()
         if elapsed_s >= schedule.accept_until_s:
             self.listener.close()
-        if self.is_shutdown and elapsed_s >= schedule.respond_by_s:
+        if self.is_shutdown and schedule.is_over(elapsed_s):
             self.gateway.answer_all_requests()
         now_s = self.loop.time()
         for connection in list(self.timeouts.reading):
--- a/cloverkeel/frontends/http1/server.py
+++ b/cloverkeel/frontends/http1/server.py
@@ -102,7 +102,10 @@
         self.client_drain.stop()
 
     async def shut_down(self, schedule: DrainSchedule | None = None) -> None:
-        """Drain and stop: first answer every request, including those on connections that wait to be accepted."""
+        """Drain and stop: answer every request, including those on connections that wait to be accepted.
+
+        Returns once all clients have received their responses or were given up.
+        """
         self.client_drain.is_shutdown = True
         self.start_drain(schedule or shutdown_schedule(self.max_client_timeout_s))
         while self.listener.socket is not None or self.connections or self.admission.accepting:
--- a/tests/core/test_draining.py
+++ b/tests/core/test_draining.py
@@ -8,7 +8,7 @@
 
 from cloverkeel.core.draining import (
     KILL_GRACE_S,
-    MAX_SHUTDOWN_S,
+    MAX_DRAIN_S,
     READ_STALL_TIMEOUT_S,
     DrainSchedule,
     handover_schedule,
@@ -56,7 +56,7 @@
 def test_shutdown_ends_before_sigkill(max_client_timeout_s: float) -> None:
     for schedule in (shutdown_schedule(max_client_timeout_s), handover_schedule(max_client_timeout_s)):
         assert schedule.respond_by_s < max_client_timeout_s + KILL_GRACE_S
-        assert schedule.respond_by_s <= MAX_SHUTDOWN_S
+        assert schedule.respond_by_s <= MAX_DRAIN_S
 
 
 @pytest.mark.parametrize("max_client_timeout_s", MAX_CLIENT_TIMEOUTS_S)
--- a/tests/core/test_input_scheduler.py
+++ b/tests/core/test_input_scheduler.py
@@ -56,7 +56,9 @@
         """Return the time of its clock."""
         return self.now_s
 
-    def call_soon(self, callback: Callable[..., Any], *args: Any, context: Any = None) -> asyncio.Handle:
+    def call_soon(  # type: ignore[override]
+        self, callback: Callable[..., Any], *args: Any, context: Any = None
+    ) -> asyncio.Handle:
         """Run the callback at the end of the iteration."""
         self.soon.append(callback)
         return asyncio.Handle(callback, args, self)
