A shutdown ends, however slowly a response moves: a test, and mutants that fit it

Cause: the row of mutants for the end of a shutdown removed a limit that is gone, and one of its tests noticed nothing. Change: a test of a host that sends a byte now and then for ever (MAX_DELIVERY_S ends it); a row for it, and one for idle connections. The test of a request that is never answered keeps its own row (answer_all_requests).

--- a/benchmarks/guards/mutants/core.py
+++ b/benchmarks/guards/mutants/core.py
@@ -81,9 +81,9 @@
 @mutant("way-out-bound")
 def _() -> None:
     """The time limit of the deliveries after a drain is one hour."""
-    from cloverkeel.core import draining
+    from cloverkeel.cli import serving
 
-    patch_attribute(draining, "MAX_DELIVERY_S", 3600.0)
+    patch_source(serving, "_shut_down", ("draining.MAX_DELIVERY_S", "3600.0"))
 
 
 @mutant("idle-first")
--- a/benchmarks/guards/table/core.py
+++ b/benchmarks/guards/table/core.py
@@ -17,9 +17,10 @@
     row("tickets+free-by-identity", "a request is removed by identity, not by its id",
         "RequestTable.add, RequestLifecycle.remove",
         tests="balancing/repeated_ids::late_timer_of_an_answered_request_leaves_a_later_request_with_its_id_alone"),
-    row("way-out-ends+way-out-bound", "a shutdown ends", "DrainSchedule, MAX_DELIVERY_S",
-        tests="cli/gateway_process::a_request_that_is_never_answered_does_not_delay_shutdown "
-              "cli/gateway_process::a_shutdown_finishes_requests_in_flight_and_accepts_new_ones"),
+    row("way-out-ends", "a shutdown closes idle connections", "DrainSchedule.can_close_idle",
+        tests="cli/gateway_process::a_shutdown_finishes_requests_in_flight_and_accepts_new_ones"),
+    row("way-out-bound", "a shutdown ends, however slowly a response moves", "serving._shut_down",
+        tests="cli/shutdown_delivery::process_ends_although_a_response_moves_for_ever"),
     row("way-out-keeps", "open connections are served for a while, as other gateways may be down",
         "DrainState.closes_connections",
         tests="core/draining::during_shutdown_an_open_connection_is_served_for_a_while"),
--- a/tests/cli/test_shutdown_delivery.py
+++ b/tests/cli/test_shutdown_delivery.py
@@ -12,6 +12,10 @@
 
 import pytest
 
+from cloverkeel.assembly import assemble
+from cloverkeel.cli import serving
+from cloverkeel.core import draining
+from cloverkeel.core.config import parse
 from tests.cli.process import program
 from tests.frontends.test_client_output import frame
 from tests.frontends.test_large_bodies import read_response
@@ -197,3 +201,26 @@
                 await asyncio.sleep(0.05)
         assert (await answer).status == 408 and time.monotonic() - began_s < KILL_S
         assert await process.wait() == 0
+
+
+@on_loop
+async def test_process_ends_although_a_response_moves_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a process that never ends: a host that sends a byte now and then is never given up."""
+
+    async def send_for_ever(exchange: Exchange) -> None:
+        exchange.writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(BODY))
+        while not exchange.writer.is_closing():
+            exchange.writer.write(b"x")
+            await asyncio.sleep(0.01)
+
+    monkeypatch.setattr(draining, "MAX_DRAIN_S", 0.1)
+    monkeypatch.setattr(draining, "MAX_DELIVERY_S", 0.5)
+    async with scripted_server(send_for_ever) as host:
+        program_parts = assemble(parse(configuration(host)))
+        await program_parts.server.start()
+        assert program_parts.server.listener.socket is not None
+        client = await connect(program_parts.server.listener.socket.getsockname()[1])
+        client.send(request())
+        await client.reader.readuntil(b"\r\n\r\n")
+        await serving._shut_down(program_parts, None)
+        program_parts.server.close()
