A process that replaces another keeps to the drains and removals that the other was told

Cause: bans and pauses outlive a process, what discovery told does not; the new process serves from the list of its configuration until discovery answers. Change: drains, removals and later starts of hosts are kept in restrictions.json in the folder that the processes of a gateway share. A process that starts while another serves applies them to its list until discovery answers it, and then asks for the complete list. Without a process that serves nobody keeps the file up to date, and it is not read.

--- a/benchmarks/guards/mutants/admin.py
+++ b/benchmarks/guards/mutants/admin.py
@@ -53,3 +53,11 @@
     from cloverkeel.admin.process_coordinator import ProcessCoordinator
 
     patch_attribute(ProcessCoordinator, "_share_ids", lambda self: None)
+
+
+@mutant("told-hosts")
+def _() -> None:
+    """A process knows nothing of what discovery told the one that it replaces."""
+    from cloverkeel.discovery.ejection_filter import EjectionFilter
+
+    patch_attribute(EjectionFilter, "inherit", lambda self, restriction_by_name: None)
--- a/benchmarks/guards/table/admin.py
+++ b/benchmarks/guards/table/admin.py
@@ -9,6 +9,9 @@
         tests="admin/operations::ejections_outlive_the_process_and_are_applied_by_both"),
     row("ban-heard", "an ejection requested from one process is applied by the other", "StateFile.read_if_changed",
         tests="admin/operations::ejections_outlive_the_process_and_are_applied_by_both"),
+    row("told-hosts", "a successor keeps to what discovery told the process before it", "EjectionFilter.inherit",
+        tests="admin/inherited_restrictions::"
+              "a_host_that_drains_gets_nothing_from_a_successor_that_discovery_does_not_answer"),
     row("two-writers", "concurrent updates by two processes lose no ejection", "StateFile.update",
         tests="admin/shared_folder::two_writers_lose_no_changes"),
     row("successor-ready", "the gateway stays ready during an upgrade", "ProcessCoordinator.begin_shutdown",
--- a/cloverkeel/admin/process_coordinator.py
+++ b/cloverkeel/admin/process_coordinator.py
@@ -36,12 +36,14 @@
         self.others = OtherProcesses()
         self.is_serving = False
         self.is_shutting_down = False
+        self._stored_restrictions_version = 0  # of the restrictions that are stored for a successor
         self._budget_divisor = 1  # slow-start budgets are divided by this number
         self._poll_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Take over the state of the previous process. Must be called before the first endpoint list is read."""
         self._apply_state(self.folder.open())
+        self._inherit_restrictions(self.folder.process_files.find_others())
         self._share_ids()
         self._poll()
 
@@ -91,11 +93,32 @@
             self._apply_state(state)
         self.announce_serving()
         others = self.folder.process_files.find_others()
+        self._inherit_restrictions(others)
+        self._store_restrictions()
         if others.count != self.others.count:
             self._share_descriptors(1 + others.count)
         self._share_budgets(others)
         self.others = others
 
+    def _inherit_restrictions(self, others: OtherProcesses) -> None:
+        """Adopt what discovery told a process that serves now, as long as it has told this one nothing.
+
+        Without such a process nobody keeps the file up to date, and the list in the configuration is the better one.
+        """
+        if not self.ejection_filter.is_confirmed and others.serving_count:
+            restriction_by_name = self.folder.restrictions_file.read_if_changed()
+            if restriction_by_name is not None:
+                self.ejection_filter.inherit(restriction_by_name)
+
+    def _store_restrictions(self) -> None:
+        """Store what discovery told this process, if that has changed."""
+        restrictions = self.ejection_filter.restrictions
+        is_stored = restrictions.version == self._stored_restrictions_version
+        if is_stored or self.is_shutting_down or not self.ejection_filter.is_confirmed:
+            return
+        self._stored_restrictions_version = restrictions.version
+        self.folder.restrictions_file.write(restrictions.by_name)
+
     def _share_ids(self) -> None:
         """Use one table of request ids with the other processes, so that an id runs at one of them only."""
         ids = open_shared_ids(self.folder.path, table_bytes(self.server.account.limit_bytes))
--- a/cloverkeel/admin/shared_folder.py
+++ b/cloverkeel/admin/shared_folder.py
@@ -1,4 +1,4 @@
-"""The folder that the processes of one gateway share: state file and process files."""
+"""The folder that the processes of one gateway share: state file, restrictions of hosts, and process files."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from typing import Final
 
 from cloverkeel.admin.process_files import ProcessFiles
+from cloverkeel.admin.restrictions_file import RestrictionsFile
 from cloverkeel.admin.state import GatewayState
 from cloverkeel.admin.state_file import StateFile
 from cloverkeel.core.config import Config
@@ -31,6 +32,7 @@
         self.path = path
         self.state_file = StateFile(path)
         self.process_files = ProcessFiles(path)
+        self.restrictions_file = RestrictionsFile(path)
 
     def open(self) -> GatewayState:
         """Register this process and return the state that the previous process stored.
