One decoder of the shared folder's JSON objects; two comments say what the code does

Need: the check of length, JSON and version stood in two modules; the docstring of the metrics line lacked a figure that was added, and a constant had its comment behind a broken line. Change: admin/json_object.py, used by the state file and by the restrictions of hosts; the docstring and the comment.

--- a/cloverkeel/admin/restrictions_file.py
+++ b/cloverkeel/admin/restrictions_file.py
@@ -16,6 +16,7 @@
 from typing import Any, Final
 
 from cloverkeel.admin.errors import StateError
+from cloverkeel.admin.json_object import decode_object
 from cloverkeel.admin.state_file import FileVersion
 from cloverkeel.balancing.events import ServerStatus
 from cloverkeel.core.log import log
@@ -42,14 +43,7 @@
 
 def decode_restrictions(text: str) -> dict[str, HostRestriction]:
     """Parse the JSON text of restrictions; raise StateError if it is invalid."""
-    if len(text) > MAX_FILE_CHARACTERS:
-        raise StateError(expected=f"at most {MAX_FILE_CHARACTERS} characters")
-    try:
-        raw = json.loads(text)
-    except (ValueError, RecursionError):
-        raise StateError(expected="JSON") from None
-    if not isinstance(raw, dict) or raw.get("v") != FORMAT_VERSION:
-        raise StateError(expected=f"an object with v {FORMAT_VERSION}")
+    raw = decode_object(text, FORMAT_VERSION, MAX_FILE_CHARACTERS)
     hosts = raw.get("hosts")
     if not isinstance(hosts, dict) or len(hosts) > MAX_RESTRICTIONS:
         raise StateError(expected=f"an object with at most {MAX_RESTRICTIONS} hosts", key="hosts")
--- a/cloverkeel/admin/state.py
+++ b/cloverkeel/admin/state.py
@@ -17,6 +17,7 @@
 from typing import Any, Final
 
 from cloverkeel.admin.errors import StateError
+from cloverkeel.admin.json_object import decode_object
 
 VERSION: Final = 1
 MAX_EJECTIONS: Final = 1_024
@@ -71,9 +72,7 @@
 
 def decode_state(text: str) -> GatewayState:
     """Parse the JSON text of a state; raise StateError if it is invalid."""
-    raw = _decode_object(text)
-    if raw.get("v") != VERSION:
-        raise StateError(expected=str(VERSION), key="v", found=repr(raw.get("v")))
+    raw = decode_object(text, VERSION, MAX_STATE_CHARACTERS)
     is_paused = raw.get("paused")
     if not isinstance(is_paused, bool):
         raise StateError(expected="true or false", key="paused")
@@ -81,18 +80,6 @@
     return GatewayState(is_paused, _decode_times(raw, "out"), _decode_times(raw, "back"), known_ids)
 
 
-def _decode_object(text: str) -> dict[str, Any]:
-    if len(text) > MAX_STATE_CHARACTERS:
-        raise StateError(expected=f"at most {MAX_STATE_CHARACTERS} characters")
-    try:
-        raw = json.loads(text)
-    except (ValueError, RecursionError):
-        raise StateError(expected="JSON") from None
-    if not isinstance(raw, dict):
-        raise StateError(expected="an object")
-    return raw
-
-
 def _decode_ids(raw: dict[str, Any], key: str) -> tuple[str, ...]:
     ids = raw.get(key)
     if not isinstance(ids, list) or len(ids) > MAX_KNOWN_IDS or not all(isinstance(id_, str) for id_ in ids):
--- a/cloverkeel/core/draining.py
+++ b/cloverkeel/core/draining.py
@@ -25,9 +25,8 @@
 READ_STALL_TIMEOUT_S: Final = 0.4  # maximum gap between two chunks of a request; even a slow client sends sooner
 MAX_DRAIN_S: Final = 3.4  # after SIGTERM: the longest client timeout plus the time in which clients still connect
 SLOWEST_CLIENT_BYTES_PER_S: Final = 64_000
-MAX_DELIVERY_S = (
-    MAX_BODY_BYTES / SLOWEST_CLIENT_BYTES_PER_S
-)  # of a response that has begun before the end of the drain
+# Of the largest response, if it begins just before the end of the drain.
+MAX_DELIVERY_S = MAX_BODY_BYTES / SLOWEST_CLIENT_BYTES_PER_S
 
 
 @dataclass(slots=True, frozen=True)
--- a/cloverkeel/core/metrics.py
+++ b/cloverkeel/core/metrics.py
@@ -93,7 +93,7 @@
 
         `opened`: connections opened to hosts since the last line. `entries`: endpoint list entries received since.
         `resources`: what the process holds now, in the order of docs/fleet.md; empty if unknown.
-        `input_figures`: time spent on input since the last line in µs, and the number of postponed reads.
+        `input_figures`: since the last line, time spent on input in µs, postponed reads, longest wait of one in ms.
         """
         if not self._has_activity(entries):
             return None
