--- a/benchmarks/guards/mutants/core.py
+++ b/benchmarks/guards/mutants/core.py
@@ -120,6 +120,12 @@
     patch_attribute(DrainState, "is_over", lambda self: False)
 
 
+@mutant("incomplete-abort")
+def _() -> None:
+    """During shutdown a request that keeps arriving is never aborted."""
+    change_shutdown_schedule(abort_incomplete_from_s=3600.0)
+
+
 @mutant("wait-of-input")
 def _() -> None:
     """A postponed connection waits for as long as all input since the metrics line took."""
--- a/tests/cli/test_shutdown_delivery.py
+++ b/tests/cli/test_shutdown_delivery.py
@@ -8,6 +8,8 @@
 import signal
 import socket
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
@@ -16,7 +18,8 @@
 from cloverkeel.cli import serving
 from cloverkeel.core import draining
 from cloverkeel.core.config import parse
-from tests.cli.process import program
+from tests.admin.test_operations import gateway
+from tests.cli.process import READY, ask, program
 from tests.frontends.test_client_output import frame
 from tests.frontends.test_large_bodies import read_response
 from tests.sockets import (
@@ -49,6 +52,19 @@
     return Client(*await asyncio.open_connection(sock=sock, limit=SMALL_BUFFER_BYTES))
 
 
+@asynccontextmanager
+async def begun_response(folder: Path, data: bytes) -> AsyncIterator[tuple[asyncio.subprocess.Process, Client]]:
+    """Run a gateway and a client that has sent `data` and got the head of a large response."""
+    async with (
+        scripted_server(respond_with(reply(200, BODY))) as host,
+        program(folder, configuration(host)) as (process, port),
+    ):
+        client = await connect(port)
+        client.send(data)
+        await client.reader.readuntil(b"\r\n\r\n")
+        yield process, client
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("signals", [("SIGTERM",), ("SIGTERM", "SIGTERM", "SIGINT"), ("SIGHUP", "SIGTERM", "SIGHUP")])
 @pytest.mark.parametrize("framing", ["length", "chunked"])
@@ -85,13 +101,7 @@
 @on_loop_for(2.0)
 async def test_response_whose_client_pauses_during_the_shutdown_is_complete(tmp_path: Path) -> None:
     """Guards against an end of the process within the 10 s for which a client may read nothing."""
-    async with (
-        scripted_server(respond_with(reply(200, BODY))) as host,
-        program(tmp_path, configuration(host)) as (process, port),
-    ):
-        client = await connect(port)
-        client.send(request() + request())
-        await client.reader.readuntil(b"\r\n\r\n")
+    async with begun_response(tmp_path, request() + request()) as (process, client):
         process.send_signal(signal.SIGTERM)
         await asyncio.sleep(PAUSE_S)
         assert await client.reader.readexactly(len(BODY)) == BODY
@@ -103,13 +113,7 @@
 @on_loop_for(2.0)
 async def test_process_ends_although_a_client_reads_nothing(tmp_path: Path) -> None:
     """Guards against a process that never ends: what is stalled is given up by its own limit."""
-    async with (
-        scripted_server(respond_with(reply(200, BODY))) as host,
-        program(tmp_path, configuration(host)) as (process, port),
-    ):
-        client = await connect(port)
-        client.send(request())
-        await client.reader.readuntil(b"\r\n\r\n")
+    async with begun_response(tmp_path, request()) as (process, client):
         process.send_signal(signal.SIGTERM)
         began_s = time.monotonic()
         _, errors = await process.communicate()
@@ -117,6 +121,31 @@
         assert b"delivering responses, connections=1" in errors and b"deadline exceeded" not in errors
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"], ids=["length", "until-close"])
+@on_loop_for(2.0)
+async def test_old_process_of_an_upgrade_completes_a_response_whose_client_pauses(
+    tmp_path: Path, version: bytes
+) -> None:
+    """Guards against an upgrade that cuts off what the old process is still delivering."""
+    response = reply(200, BODY) if version == b"HTTP/1.1" else frame(BODY, "chunked")
+    async with (
+        scripted_server(respond_with(response)) as host,
+        gateway(tmp_path, configuration(host)) as processes,
+    ):
+        old = await processes.start()
+        client = await connect(processes.port)
+        client.send(request().replace(b"HTTP/1.1", version))
+        await client.reader.readuntil(b"\r\n\r\n")
+        await processes.start()
+        old.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(PAUSE_S)
+        assert await ask(processes.port, READY) == 200
+        body = await (client.reader.readexactly(len(BODY)) if version == b"HTTP/1.1" else client.reader.read())
+        assert body == BODY
+        assert await old.process.wait() == 0
+
+
 async def use_connections(port: int, ending: asyncio.Event, answered: set[str], batch: int) -> None:
     """Send requests in batches on one connection after another; add the ids of those that are answered."""
     while not ending.is_set():
--- a/tests/core/test_draining.py
+++ b/tests/core/test_draining.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,12 +17,15 @@
     pause_schedule,
     shutdown_schedule,
 )
+from cloverkeel.frontends.http1.connection import MAX_PIPELINED_REQUESTS
+from cloverkeel.frontends.http1.context import READ_BUFFER_BYTES
 from tests.sockets import (
     configuration,
     never_respond,
     on_loop,
     reply,
     request,
+    respond_with,
     running_gateway,
     scripted_server,
     wait_until,
@@ -116,3 +121,26 @@
         assert (await slow_client.read_response()).body == b"slow"
         stalled_client.close()
         slow_client.close()
+
+
+@on_loop
+async def test_connection_is_read_once_more_at_most_after_the_end_of_a_drain() -> None:
+    """Guards against a client that never stops sending: its connection always has one more request to answer."""
+    schedule = shutdown_schedule(3.0)
+    requests = [request() for _ in range(4_000)]
+    async with scripted_server(never_respond) as host, running_gateway(configuration(host)) as run:
+        client = await run.connect()
+        client.send(b"".join(requests))
+        await wait_until(lambda: host.exchanges and all(c.is_reading_paused for c in run.server.connections))
+        run.server.start_drain(schedule)
+        run.server.drain_state.started_s -= schedule.respond_by_s
+        host.script = respond_with(reply())
+        host.exchanges[0].respond(reply())
+        received = bytearray()
+        with contextlib.suppress(ConnectionError):  # the system may reset it over what is not read
+            while data := await client.reader.read(READ_BUFFER_BYTES):
+                received += data
+        read_ahead = MAX_PIPELINED_REQUESTS + 2 * READ_BUFFER_BYTES // len(requests[0])
+        assert 1 <= received.count(b"HTTP/1.1 ") <= read_ahead
+        await wait_until(lambda: not run.server.connections)
+        client.close()
